--- a/include/sesameway/Catalogue.h
+++ b/include/sesameway/Catalogue.h
@@ -64,6 +64,10 @@
   bool mOpen = false;
   // Oldest data a read may return, microseconds; 0: none older than the read's start.
   std::uint64_t mMaxAgeUs = 0;
+  // Longest time for one statement, microseconds; 0: no limit of the route's own.
+  std::uint64_t mStatementTimeoutUs = 0;
+  // Statements of a lower number go first where connections are short.
+  std::uint32_t mPriority = 0;
 };
 
 // The entries in force, as one value that never changes once it is published.
@@ -71,6 +75,8 @@
 {
   // Of the platform's store; grows with each change.
   std::uint64_t mRevision = 0;
+  // A transaction whose caller rests longer may be rolled back, microseconds; 0: never.
+  std::uint64_t mIdleTransactionUs = 0;
   std::map<std::string, Organisation, std::less<>> mOrganisations;
   std::map<std::string, Service, std::less<>> mServices;
   std::map<std::string, KeyEntry, std::less<>> mKeys;
--- /dev/null
+++ b/include/sesameway/Promotion.h
@@ -0,0 +1,199 @@
+#pragma once
+
+#include "sesameway/DatabaseList.h"
+#include "sesameway/Leadership.h"
+#include "sesameway/Token.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace sesameway {
+
+// A database's answer to a status command.
+struct DatabaseReport
+{
+  DatabaseRole mRole = DatabaseRole::Unknown;
+  std::uint64_t mTerm = 0;
+  // The end of the log that it has received; a replica applies it later.
+  LogPosition mReceived;
+  Duration mLag{};
+  std::uint32_t mConnections = 0;
+};
+
+// The coordinator's part in one group: finds the first primary, notices that the
+// primary is gone or leaving, and has another database take over. Nothing is sent to
+// the old primary any more once the order goes out: each daemon has stood down, or has
+// lost contact for so long that it may not use the primary.
+class PromotionPlan
+{
+public:
+  struct Probe
+  {
+    std::string mDatabase;
+  };
+  // Asks all fellow daemons when they last heard from the primary.
+  struct AskFellows
+  {};
+  // On condition of the record's revision.
+  struct WriteRecord
+  {
+    GroupRecord mRecord;
+    std::uint64_t mExpected = 0;
+  };
+  // To those that have not answered yet.
+  struct AskStandDown
+  {
+    std::uint64_t mChange = 0;
+    std::vector<std::string> mDaemons;
+  };
+  // The platform makes the database the primary of the next term.
+  struct OrderPromotion
+  {
+    std::string mDatabase;
+  };
+  struct OrderDemotion
+  {
+    std::string mDatabase;
+    std::uint64_t mTerm = 0;
+  };
+  using Action = std::variant<Probe,
+                              AskFellows,
+                              WriteRecord,
+                              AskStandDown,
+                              OrderPromotion,
+                              OrderDemotion>;
+  using Actions = std::vector<Action>;
+
+  enum class Cause : std::uint8_t
+  {
+    None,
+    NoRecord,
+    Leaving,
+    Silent,
+    OutOfReachOfMost,
+    ReplacedUnasked,
+  };
+
+  // What the daemon knows besides.
+  struct Surroundings
+  {
+    std::vector<const ListedDatabase*> mDatabases;
+    // All daemons of the fleet, this one included.
+    std::vector<std::string> mDaemons;
+    std::string mSelf;
+  };
+
+  explicit PromotionPlan(std::string aGroup)
+    : mGroup(std::move(aGroup))
+  {
+  }
+
+  // Call every 50 to 100 ms while this daemon is the coordinator. The record is the
+  // newest known, its revision 0 if the store has none.
+  Actions Step(const GroupRecord& aRecord,
+               std::uint64_t aRevision,
+               const Surroundings& aAround,
+               TimePoint aNow);
+
+  // `aAskedAt`: when the command was sent that was answered.
+  void OnReport(const std::string& aDatabase,
+                const DatabaseReport& aReport,
+                TimePoint aAskedAt);
+  // Any answer of the database to this daemon.
+  void OnHeard(const std::string& aDatabase, TimePoint aAt);
+  // A fellow's answer, or this daemon's own: how long the primary has left its
+  // statements unanswered; none if it has not sent any for a while.
+  void OnFellow(const std::string& aDaemon,
+                std::optional<Duration> aSilence,
+                TimePoint aNow);
+  void OnStoodDown(const std::string& aDaemon, std::uint64_t aChange);
+  // The store has answered, whether it took the record or not. None: no answer.
+  void OnWritten(std::optional<bool> aIsTaken, TimePoint aNow);
+  // Whether the platform took the order; none without answer.
+  void OnOrdered(std::optional<bool> aIsTaken, TimePoint aNow);
+  // Why the change under way was begun.
+  Cause CauseOf() const { return mCause; }
+
+private:
+  struct Known
+  {
+    DatabaseReport mReport;
+    // TimePoint{}: never.
+    TimePoint mAskedAt{};
+    TimePoint mHeardAt{};
+    TimePoint mProbedAt{};
+  };
+  struct Fellow
+  {
+    std::optional<Duration> mSilence;
+    TimePoint mAnsweredAt{};
+  };
+
+  void StepLearning(const Surroundings& aAround, TimePoint aNow, Actions& aActions);
+  void StepServing(const GroupRecord& aRecord,
+                   std::uint64_t aRevision,
+                   const Surroundings& aAround,
+                   TimePoint aNow,
+                   Actions& aActions);
+  void StepChanging(const GroupRecord& aRecord,
+                    std::uint64_t aRevision,
+                    const Surroundings& aAround,
+                    TimePoint aNow,
+                    Actions& aActions);
+  Cause FindCause(const GroupRecord& aRecord,
+                  const Surroundings& aAround,
+                  TimePoint aNow) const;
+  bool IsOutOfReach(const Surroundings& aAround, TimePoint aNow) const;
+  bool IsClosed(const GroupRecord& aRecord,
+                const Surroundings& aAround,
+                TimePoint aNow,
+                Actions& aActions) const;
+  std::string ChooseTarget(const GroupRecord& aRecord,
+                           const Surroundings& aAround,
+                           TimePoint aNow) const;
+  bool FinishIfTaken(const GroupRecord& aRecord,
+                     std::uint64_t aRevision,
+                     const Surroundings& aAround,
+                     TimePoint aNow,
+                     Actions& aActions);
+  void ProbeAll(const Surroundings& aAround,
+                Duration aInterval,
+                TimePoint aNow,
+                Actions& aActions);
+  void Write(GroupRecord aRecord,
+             std::uint64_t aRevision,
+             TimePoint aNow,
+             Actions& aActions);
+
+  std::string mGroup;
+  std::map<std::string, Known> mDatabases;
+  std::map<std::string, Fellow> mFellows;
+  TimePoint mStartedAt{};
+  TimePoint mAskedFellowsAt{};
+  // No write is sent before this; the last one may still be under way.
+  TimePoint mWriteAgainAt{};
+  Cause mCause = Cause::None;
+  // The change that the following belongs to.
+  std::uint64_t mChange = 0;
+  TimePoint mChangingSince{};
+  TimePoint mClosedAt{};
+  std::set<std::string> mStoodDown;
+  std::string mOrdered;
+  TimePoint mOrderedAt{};
+  bool mIsOrderRefused = false;
+};
+inline constexpr NameTable<PromotionPlan::Cause, 6> kPromotionCauseNames{
+  { "none",
+    "no_record",
+    "leaving",
+    "silent",
+    "out_of_reach_of_most",
+    "replaced_unasked" }
+};
+
+} // namespace sesameway
--- a/include/sesameway/Routing.h
+++ b/include/sesameway/Routing.h
@@ -93,6 +93,10 @@
   void Confirm(const GroupView& aView);
   // Data at this position was current at the returned time at least.
   std::optional<TimePoint> CurrentAt(const LogPosition& aPosition) const;
+  // A log that holds this position holds all that was acknowledged before `aAt`; none
+  // if the primary's head has not been seen since. The oldest such, which most replicas
+  // hold.
+  std::optional<LogPosition> HeadSince(TimePoint aAt) const;
 
 private:
   struct Sample
--- a/include/sesameway/Time.h
+++ b/include/sesameway/Time.h
@@ -3,10 +3,27 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace sesameway {
 
-using Clock = std::chrono::steady_clock;
+// Monotonic, and goes on while the VM is suspended: leases, shares and promises given
+// to other daemons must run out in that time too.
+struct Clock
+{
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<Clock>;
+  static constexpr bool is_steady = true;
+
+  static time_point now() noexcept
+  {
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return time_point(std::chrono::seconds(time.tv_sec) + duration(time.tv_nsec));
+  }
+};
 // A point of the process's monotonic clock; never sent to another process.
 using TimePoint = Clock::time_point;
 using Duration = Clock::duration;
--- a/proto/peer.capnp
+++ b/proto/peer.capnp
@@ -84,4 +84,8 @@
   primary @5 (group :Text) -> (term :UInt64, database :Text, seenAgeUs :UInt64);
   # A new primary, told to the other homes so that they need not find out.
   announce @6 (group :Text, term :UInt64, database :Text) -> ();
+  # The callee sends nothing more to the group's primary until the group's record shows
+  # that this change of primary, or a later one, is over. Answered once nothing is under
+  # way there.
+  standDown @7 (group :Text, change :UInt64) -> ();
 }
--- /dev/null
+++ b/src/core/ConnectionPlan.cpp
@@ -0,0 +1,279 @@
+#include "sesameway/ConnectionPlan.h"
+
+#include <algorithm>
+
+namespace sesameway {
+
+namespace {
+
+// After this long a waiter may take an idle connection of another organisation, though
+// others of that organisation wait for it: turns cost a new connection each.
+constexpr Duration kPatience = milliseconds(120);
+// A refused caller is told to come back when about this much has been served.
+constexpr Duration kRetryPause = milliseconds(250);
+// Weight of the newest hold in the moving average: 1/8.
+constexpr int kHoldShift = 3;
+
+} // namespace
+
+ConnectionPlan::Actions ConnectionPlan::SetLimit(std::size_t aLimit, TimePoint aNow)
+{
+  Actions actions;
+  mLimit = aLimit;
+  for (auto it = mConnections.begin();
+       it != mConnections.end() && mConnections.size() > mLimit;) {
+    if (it->second.mState != State::Idle) {
+      ++it;
+      continue;
+    }
+    actions.push_back(Close{ it->first });
+    it = mConnections.erase(it);
+  }
+  Settle(aNow, actions);
+  return actions;
+}
+
+ConnectionPlan::Actions ConnectionPlan::Add(Want aWant, TimePoint aNow)
+{
+  auto before = [&](const Waiter& aIt) {
+    return aIt.mWant.mPriority <= aWant.mPriority;
+  };
+  auto it = std::find_if_not(mWaiters.begin(), mWaiters.end(), before);
+  mWaiters.insert(it, { std::move(aWant), aNow });
+  Actions actions;
+  Settle(aNow, actions);
+  return actions;
+}
+
+bool ConnectionPlan::Drop(std::uint64_t aTicket)
+{
+  auto it = std::find_if(mWaiters.begin(), mWaiters.end(), [&](const Waiter& aIt) {
+    return aIt.mWant.mTicket == aTicket;
+  });
+  if (it == mWaiters.end()) {
+    return false;
+  }
+  mWaiters.erase(it);
+  return true;
+}
+
+ConnectionPlan::Actions ConnectionPlan::OnOpened(std::uint64_t aConnection,
+                                                 TimePoint aNow)
+{
+  Actions actions;
+  auto it = mConnections.find(aConnection);
+  if (it != mConnections.end()) {
+    it->second.mState = State::Idle;
+    it->second.mSince = aNow;
+    Settle(aNow, actions);
+  }
+  return actions;
+}
+
+ConnectionPlan::Actions ConnectionPlan::OnOpenFailed(std::uint64_t aConnection,
+                                                     TimePoint aRetryAt,
+                                                     TimePoint aNow)
+{
+  Actions actions;
+  mConnections.erase(aConnection);
+  mOpenAgainAt = std::max(mOpenAgainAt, aRetryAt);
+  Settle(aNow, actions);
+  return actions;
+}
+
+std::uint64_t ConnectionPlan::TakeIdle(TimePoint aNow)
+{
+  auto id = FindIdleLongest();
+  if (id != 0) {
+    mConnections[id].mState = State::Busy;
+    mConnections[id].mSince = aNow;
+  }
+  return id;
+}
+
+ConnectionPlan::Actions ConnectionPlan::OnReleased(std::uint64_t aConnection,
+                                                   TimePoint aNow)
+{
+  Actions actions;
+  auto it = mConnections.find(aConnection);
+  if (it == mConnections.end()) {
+    return actions;
+  }
+  auto held = aNow - it->second.mSince;
+  mHold += (held - mHold) / (1 << kHoldShift);
+  it->second.mState = State::Idle;
+  it->second.mSince = aNow;
+  if (mConnections.size() > mLimit) {
+    actions.push_back(Close{ aConnection });
+    mConnections.erase(it);
+  }
+  Settle(aNow, actions);
+  return actions;
+}
+
+ConnectionPlan::Actions ConnectionPlan::OnGone(std::uint64_t aConnection,
+                                               TimePoint aNow)
+{
+  Actions actions;
+  mConnections.erase(aConnection);
+  Settle(aNow, actions);
+  return actions;
+}
+
+ConnectionPlan::Actions ConnectionPlan::OnTick(TimePoint aNow)
+{
+  Actions actions;
+  for (auto it = mWaiters.begin(); it != mWaiters.end();) {
+    if (it->mWant.mDeadline > aNow) {
+      ++it;
+      continue;
+    }
+    actions.push_back(Refuse{ it->mWant.mTicket, aNow + kRetryPause });
+    it = mWaiters.erase(it);
+  }
+  Settle(aNow, actions);
+  return actions;
+}
+
+TimePoint ConnectionPlan::NextTick() const
+{
+  auto next = TimePoint::max();
+  for (const auto& it : mWaiters) {
+    next = std::min(next, it.mWant.mDeadline);
+    auto patientUntil = it.mSince + kPatience;
+    // Waiting longer changes something only once: when the patience ends.
+    if (mConnections.size() >= mLimit && FindIdleLongest() != 0) {
+      next = std::min(next, patientUntil);
+    }
+  }
+  if (!mWaiters.empty() && mOpenAgainAt != TimePoint{}) {
+    next = std::min(next, mOpenAgainAt);
+  }
+  return next;
+}
+
+ConnectionPlan::Actions ConnectionPlan::RefuseAll(TimePoint aRetryAt)
+{
+  Actions actions;
+  for (const auto& it : mWaiters) {
+    actions.push_back(Refuse{ it.mWant.mTicket, aRetryAt });
+  }
+  mWaiters.clear();
+  return actions;
+}
+
+// Connections are told apart by organisation, so only those of the same one, and those
+// that could be given up, count as ahead of the new one.
+Duration ConnectionPlan::ExpectedWait(const std::string& aOrganisation) const
+{
+  if (FindIdle(aOrganisation) != 0 || mConnections.size() < mLimit ||
+      FindIdleLongest() != 0) {
+    return Duration::zero();
+  }
+  auto rounds = static_cast<std::int64_t>(mWaiters.size()) + 1;
+  return mHold * rounds / static_cast<std::int64_t>(std::max<std::size_t>(1, mLimit));
+}
+
+void ConnectionPlan::Settle(TimePoint aNow, Actions& aActions)
+{
+  if (mOpenAgainAt <= aNow) {
+    mOpenAgainAt = TimePoint{};
+  }
+  if (!IsStarving(aNow)) {
+    GiveToOwn(aNow, aActions);
+  }
+  std::map<std::string, std::size_t> coming;
+  for (auto it = mWaiters.begin(); it != mWaiters.end();) {
+    auto next = std::next(it);
+    auto own = FindIdle(it->mWant.mOrganisation);
+    if (own != 0) {
+      GiveTo(it, own, aNow, aActions);
+    } else if (coming[it->mWant.mOrganisation]++ >= Opening(it->mWant.mOrganisation)) {
+      OpenFor(*it, aNow, aActions);
+    }
+    it = next;
+  }
+}
+
+void ConnectionPlan::GiveToOwn(TimePoint aNow, Actions& aActions)
+{
+  for (auto it = mWaiters.begin(); it != mWaiters.end();) {
+    auto next = std::next(it);
+    auto own = FindIdle(it->mWant.mOrganisation);
+    if (own != 0) {
+      GiveTo(it, own, aNow, aActions);
+    }
+    it = next;
+  }
+}
+
+bool ConnectionPlan::OpenFor(const Waiter& aWaiter, TimePoint aNow, Actions& aActions)
+{
+  if (mOpenAgainAt > aNow) {
+    return false;
+  }
+  if (mConnections.size() >= mLimit) {
+    auto other = FindIdleLongest();
+    if (other == 0) {
+      return false;
+    }
+    aActions.push_back(Close{ other });
+    mConnections.erase(other);
+  }
+  auto id = mNextConnection++;
+  mConnections[id] = { aWaiter.mWant.mOrganisation, State::Opening, aNow };
+  aActions.push_back(Open{ id, aWaiter.mWant.mOrganisation });
+  return true;
+}
+
+void ConnectionPlan::GiveTo(Waiters::iterator aWaiter,
+                            std::uint64_t aConnection,
+                            TimePoint aNow,
+                            Actions& aActions)
+{
+  auto& connection = mConnections[aConnection];
+  connection.mState = State::Busy;
+  connection.mSince = aNow;
+  aActions.push_back(Grant{ aWaiter->mWant.mTicket, aConnection });
+  mWaiters.erase(aWaiter);
+}
+
+std::uint64_t ConnectionPlan::FindIdle(const std::string& aOrganisation) const
+{
+  for (const auto& it : mConnections) {
+    if (it.second.mState == State::Idle && it.second.mOrganisation == aOrganisation) {
+      return it.first;
+    }
+  }
+  return 0;
+}
+
+std::uint64_t ConnectionPlan::FindIdleLongest() const
+{
+  std::uint64_t found = 0;
+  auto since = TimePoint::max();
+  for (const auto& it : mConnections) {
+    if (it.second.mState == State::Idle && it.second.mSince < since) {
+      found = it.first;
+      since = it.second.mSince;
+    }
+  }
+  return found;
+}
+
+std::size_t ConnectionPlan::Opening(const std::string& aOrganisation) const
+{
+  return std::count_if(mConnections.begin(), mConnections.end(), [&](const auto& aIt) {
+    return aIt.second.mState == State::Opening &&
+           aIt.second.mOrganisation == aOrganisation;
+  });
+}
+
+// Whether the first in line has waited its time while all connections are taken.
+bool ConnectionPlan::IsStarving(TimePoint aNow) const
+{
+  return !mWaiters.empty() && mConnections.size() >= mLimit &&
+         aNow - mWaiters.front().mSince > kPatience;
+}
+
+} // namespace sesameway
--- /dev/null
+++ b/src/core/DatabaseList.cpp
@@ -0,0 +1,77 @@
+#include "sesameway/DatabaseList.h"
+
+#include <algorithm>
+
+namespace sesameway {
+
+namespace {
+
+// Lapsed entries are back within about two seconds of the store's return.
+constexpr Duration kMissingLimit = milliseconds(2500);
+
+} // namespace
+
+bool DatabaseList::Put(const ListedDatabase& aDatabase)
+{
+  auto& entry = mEntries[aDatabase.mName];
+  entry.mForgetAt.reset();
+  if (entry.mDatabase == aDatabase) {
+    return false;
+  }
+  entry.mDatabase = aDatabase;
+  return true;
+}
+
+void DatabaseList::Remove(const std::string& aName, TimePoint aNow)
+{
+  auto it = mEntries.find(aName);
+  if (it != mEntries.end() && !it->second.mForgetAt) {
+    it->second.mForgetAt = aNow + kMissingLimit;
+  }
+}
+
+bool DatabaseList::Forget(TimePoint aNow)
+{
+  auto isOver = [&](const auto& aIt) {
+    return aIt.second.mForgetAt && *aIt.second.mForgetAt <= aNow;
+  };
+  return std::erase_if(mEntries, isOver) > 0;
+}
+
+TimePoint DatabaseList::NextForget() const
+{
+  auto next = TimePoint::max();
+  for (const auto& it : mEntries) {
+    next = std::min(next, it.second.mForgetAt.value_or(TimePoint::max()));
+  }
+  return next;
+}
+
+const ListedDatabase* DatabaseList::Find(const std::string& aName) const
+{
+  auto it = mEntries.find(aName);
+  return it == mEntries.end() ? nullptr : &it->second.mDatabase;
+}
+
+std::vector<const ListedDatabase*> DatabaseList::OfGroup(
+  const std::string& aGroup) const
+{
+  std::vector<const ListedDatabase*> found;
+  for (const auto& it : mEntries) {
+    if (it.second.mDatabase.mGroup == aGroup) {
+      found.push_back(&it.second.mDatabase);
+    }
+  }
+  return found;
+}
+
+std::vector<std::string> DatabaseList::Names() const
+{
+  std::vector<std::string> names;
+  for (const auto& it : mEntries) {
+    names.push_back(it.first);
+  }
+  return names;
+}
+
+} // namespace sesameway
--- /dev/null
+++ b/src/core/Leadership.cpp
@@ -0,0 +1,233 @@
+#include "sesameway/Leadership.h"
+
+#include <algorithm>
+#include <sstream>
+#include <toml++/toml.h>
+
+namespace sesameway {
+
+namespace {
+
+// Between the attempts of two daemons of neighbouring rank.
+constexpr Duration kRankStep = milliseconds(150);
+// After a lost or refused write.
+constexpr Duration kWritePause = milliseconds(300);
+
+std::string TextIn(const toml::table& aTable, const char* aKey)
+{
+  return aTable[aKey].value_or(std::string());
+}
+
+std::uint64_t NumberIn(const toml::table& aTable, const char* aKey)
+{
+  auto number = aTable[aKey].value_or<std::int64_t>(0);
+  return number < 0 ? 0 : static_cast<std::uint64_t>(number);
+}
+
+std::string Format(const toml::table& aTable)
+{
+  std::ostringstream text;
+  text << aTable << '\n';
+  return text.str();
+}
+
+std::int64_t Signed(std::uint64_t aNumber)
+{
+  return static_cast<std::int64_t>(aNumber);
+}
+
+tl::expected<toml::table, std::string> Parse(std::string_view aBody)
+{
+  try {
+    return toml::parse(aBody);
+  } catch (const toml::parse_error& error) {
+    return tl::unexpected(std::string(error.description()));
+  }
+}
+
+} // namespace
+
+tl::expected<GroupRecord, std::string> ParseGroupRecord(std::string_view aBody)
+{
+  auto table = Parse(aBody);
+  if (!table) {
+    return tl::unexpected(table.error());
+  }
+  auto phase = kGroupPhaseNames.Find(TextIn(*table, "phase"));
+  GroupRecord record;
+  record.mGroup = TextIn(*table, "group");
+  record.mChange = NumberIn(*table, "change");
+  if (!phase || record.mGroup.empty() || record.mChange == 0) {
+    return tl::unexpected(std::string("a group, a phase and a change above 0"));
+  }
+  record.mPhase = *phase;
+  record.mTerm = NumberIn(*table, "term");
+  record.mPrimary = TextIn(*table, "primary");
+  record.mTarget = TextIn(*table, "target");
+  return record;
+}
+
+std::string FormatGroupRecord(const GroupRecord& aRecord)
+{
+  return Format(toml::table{
+    { "group", aRecord.mGroup },
+    { "phase", std::string(kGroupPhaseNames.Name(aRecord.mPhase)) },
+    { "change", Signed(aRecord.mChange) },
+    { "term", Signed(aRecord.mTerm) },
+    { "primary", aRecord.mPrimary },
+    { "target", aRecord.mTarget },
+  });
+}
+
+bool Leadership::OnRecord(const GroupRecord& aRecord, std::uint64_t aRevision)
+{
+  if (aRevision <= mRevision) {
+    return false;
+  }
+  mRecord = aRecord;
+  mRevision = aRevision;
+  return true;
+}
+
+void Leadership::StandDown(std::uint64_t aChange)
+{
+  mStoodDown = std::max(mStoodDown, aChange);
+}
+
+bool Leadership::MayUse(TimePoint aContact, TimePoint aNow) const
+{
+  return mRevision != 0 && !IsChanging() && aNow < aContact + kContactLimit;
+}
+
+bool Leadership::IsChanging() const
+{
+  return mRecord.mPhase == GroupPhase::Changing || mRecord.mChange < mStoodDown;
+}
+
+tl::expected<CoordinatorRecord, std::string> ParseCoordinatorRecord(
+  std::string_view aBody)
+{
+  auto table = Parse(aBody);
+  if (!table) {
+    return tl::unexpected(table.error());
+  }
+  CoordinatorRecord record;
+  record.mHolder = TextIn(*table, "holder");
+  record.mAddress = TextIn(*table, "address");
+  record.mIncarnation = NumberIn(*table, "incarnation");
+  record.mFence = NumberIn(*table, "fence");
+  record.mRenewal = NumberIn(*table, "renewal");
+  return record;
+}
+
+std::string FormatCoordinatorRecord(const CoordinatorRecord& aRecord)
+{
+  return Format(toml::table{
+    { "holder", aRecord.mHolder },
+    { "address", aRecord.mAddress },
+    { "incarnation", Signed(aRecord.mIncarnation) },
+    { "fence", Signed(aRecord.mFence) },
+    { "renewal", Signed(aRecord.mRenewal) },
+  });
+}
+
+CoordinatorLease::CoordinatorLease(std::string aName,
+                                   std::string aAddress,
+                                   std::uint64_t aIncarnation,
+                                   std::uint32_t aRank)
+  : mName(std::move(aName))
+  , mAddress(std::move(aAddress))
+  , mIncarnation(aIncarnation)
+  , mRank(aRank)
+{
+}
+
+void CoordinatorLease::OnRecord(const CoordinatorRecord& aRecord,
+                                std::uint64_t aRevision,
+                                TimePoint aNow)
+{
+  if (aRevision <= mRevision) {
+    return;
+  }
+  mRecord = aRecord;
+  mRevision = aRevision;
+  mIsKnown = true;
+  mSeenAt = aNow;
+  if (!IsMine()) {
+    mHeldUntil = TimePoint{};
+  }
+}
+
+void CoordinatorLease::OnNone(TimePoint aNow)
+{
+  if (!mIsKnown) {
+    mIsKnown = true;
+    mSeenAt = aNow;
+  }
+}
+
+std::optional<CoordinatorLease::Write> CoordinatorLease::Next(TimePoint aNow)
+{
+  if (!mIsKnown || mUnderWay || aNow < mNextWrite) {
+    return std::nullopt;
+  }
+  Write write{ mRecord, mRevision };
+  if (IsMine()) {
+    if (mIsLeaving) {
+      write.mRecord.mHolder.clear();
+      write.mRecord.mAddress.clear();
+    }
+  } else {
+    // Nobody holds it, or this daemon did before it was restarted.
+    bool isFree = mRecord.mHolder.empty() || mRecord.mHolder == mName;
+    auto wait = isFree ? Duration::zero() : kCoordinatorWait;
+    if (mIsLeaving || aNow < mSeenAt + wait + kRankStep * mRank) {
+      return std::nullopt;
+    }
+    write.mRecord = { mName, mAddress, mIncarnation, mRecord.mFence + 1, 0 };
+  }
+  ++write.mRecord.mRenewal;
+  mUnderWay = write;
+  mSentAt = aNow;
+  return write;
+}
+
+// A write without an answer may still take effect; the record is then seen as this
+// daemon's own, and its lease has not begun. So it is renewed, on condition of the
+// revision that the store shows.
+void CoordinatorLease::OnWritten(std::optional<std::uint64_t> aRevision, TimePoint aNow)
+{
+  if (!mUnderWay) {
+    return;
+  }
+  auto write = *mUnderWay;
+  mUnderWay.reset();
+  if (!aRevision || *aRevision == 0) {
+    mNextWrite = aNow + kWritePause;
+    return;
+  }
+  if (*aRevision > mRevision) {
+    mRecord = write.mRecord;
+    mRevision = *aRevision;
+    mSeenAt = aNow;
+  }
+  mNextWrite = mSentAt + kCoordinatorRenewal;
+  mHeldUntil = IsMine() ? mSentAt + kCoordinatorLease : TimePoint{};
+}
+
+bool CoordinatorLease::IsHolder(TimePoint aNow) const
+{
+  return IsMine() && !mIsLeaving && aNow < mHeldUntil;
+}
+
+const CoordinatorRecord* CoordinatorLease::Holder() const
+{
+  return mRecord.mHolder.empty() ? nullptr : &mRecord;
+}
+
+bool CoordinatorLease::IsMine() const
+{
+  return mRecord.mHolder == mName && mRecord.mIncarnation == mIncarnation;
+}
+
+} // namespace sesameway
--- /dev/null
+++ b/src/core/Promotion.cpp
@@ -0,0 +1,379 @@
+#include "sesameway/Promotion.h"
+
+#include <algorithm>
+
+namespace sesameway {
+
+namespace {
+
+// A primary that answers nothing for this long is asked for its status.
+constexpr Duration kQuiet = milliseconds(400);
+// Silence after which a primary is taken for gone, if fellows hear nothing either.
+constexpr Duration kSilence = milliseconds(1000);
+constexpr Duration kProbeInterval = milliseconds(300);
+constexpr Duration kChangeProbeInterval = milliseconds(120);
+// An answer of a fellow counts for this long.
+constexpr Duration kFellowAge = milliseconds(700);
+constexpr Duration kAskInterval = milliseconds(300);
+// Between questions while all is well: fellows may be cut off from the primary alone.
+constexpr Duration kCalmAskInterval = milliseconds(1500);
+// How long to look for the first primary before one is made.
+constexpr Duration kLearnLimit = milliseconds(4000);
+constexpr Duration kLearnPatience = milliseconds(1000);
+// How long replicas have to receive the rest of a primary's log that still answers.
+constexpr Duration kCatchUpLimit = milliseconds(1500);
+// How long databases have to answer before the choice among those that have.
+constexpr Duration kReportPatience = milliseconds(400);
+// A report older than this says nothing of a database's health.
+constexpr Duration kReportAge = milliseconds(1500);
+// An order without effect is given again after this long.
+constexpr Duration kOrderLimit = milliseconds(2500);
+constexpr Duration kRefusedOrderPause = milliseconds(300);
+constexpr Duration kWriteLimit = milliseconds(1200);
+
+const ListedDatabase* Find(const PromotionPlan::Surroundings& aAround,
+                           const std::string& aName)
+{
+  for (const auto* it : aAround.mDatabases) {
+    if (it->mName == aName) {
+      return it;
+    }
+  }
+  return nullptr;
+}
+
+} // namespace
+
+PromotionPlan::Actions PromotionPlan::Step(const GroupRecord& aRecord,
+                                           std::uint64_t aRevision,
+                                           const Surroundings& aAround,
+                                           TimePoint aNow)
+{
+  Actions actions;
+  if (mStartedAt == TimePoint{}) {
+    mStartedAt = aNow;
+  }
+  if (aRevision == 0) {
+    StepLearning(aAround, aNow, actions);
+  } else if (aRecord.mPhase == GroupPhase::Serving) {
+    StepServing(aRecord, aRevision, aAround, aNow, actions);
+  } else {
+    StepChanging(aRecord, aRevision, aAround, aNow, actions);
+  }
+  return actions;
+}
+
+void PromotionPlan::OnReport(const std::string& aDatabase,
+                             const DatabaseReport& aReport,
+                             TimePoint aAskedAt)
+{
+  auto& known = mDatabases[aDatabase];
+  if (aAskedAt < known.mAskedAt) {
+    return;
+  }
+  known.mReport = aReport;
+  known.mAskedAt = aAskedAt;
+  known.mHeardAt = std::max(known.mHeardAt, aAskedAt);
+}
+
+void PromotionPlan::OnHeard(const std::string& aDatabase, TimePoint aAt)
+{
+  auto& known = mDatabases[aDatabase];
+  known.mHeardAt = std::max(known.mHeardAt, aAt);
+}
+
+void PromotionPlan::OnFellow(const std::string& aDaemon,
+                             std::optional<Duration> aSilence,
+                             TimePoint aNow)
+{
+  mFellows[aDaemon] = { aSilence, aNow };
+}
+
+void PromotionPlan::OnStoodDown(const std::string& aDaemon, std::uint64_t aChange)
+{
+  if (aChange == mChange) {
+    mStoodDown.insert(aDaemon);
+  }
+}
+
+void PromotionPlan::OnWritten(std::optional<bool> aIsTaken, TimePoint aNow)
+{
+  // Without an answer the write may still take effect; the next one is conditional too.
+  mWriteAgainAt = aNow + (aIsTaken ? milliseconds(0) : milliseconds(300));
+}
+
+void PromotionPlan::OnOrdered(std::optional<bool> aIsTaken, TimePoint aNow)
+{
+  if (aIsTaken.has_value() && !*aIsTaken) {
+    mIsOrderRefused = true;
+    mOrderedAt = aNow;
+  }
+}
+
+void PromotionPlan::StepLearning(const Surroundings& aAround,
+                                 TimePoint aNow,
+                                 Actions& aActions)
+{
+  ProbeAll(aAround, kProbeInterval, aNow, aActions);
+  GroupRecord record{ mGroup, GroupPhase::Serving, 1, 0, {}, {} };
+  bool haveAllAnswered = !aAround.mDatabases.empty();
+  for (const auto* it : aAround.mDatabases) {
+    const auto& known = mDatabases[it->mName];
+    haveAllAnswered &= known.mAskedAt != TimePoint{};
+    bool leads = known.mReport.mRole == DatabaseRole::Primary;
+    if (leads && known.mReport.mTerm > record.mTerm) {
+      record.mTerm = known.mReport.mTerm;
+      record.mPrimary = it->mName;
+    }
+  }
+  auto passed = aNow - mStartedAt;
+  if (record.mPrimary.empty()) {
+    if (passed < kLearnLimit || aAround.mDatabases.empty()) {
+      return;
+    }
+    record.mPhase = GroupPhase::Changing;
+    mCause = Cause::NoRecord;
+  } else if (!haveAllAnswered && passed < kLearnPatience) {
+    return;
+  }
+  Write(std::move(record), 0, aNow, aActions);
+}
+
+void PromotionPlan::StepServing(const GroupRecord& aRecord,
+                                std::uint64_t aRevision,
+                                const Surroundings& aAround,
+                                TimePoint aNow,
+                                Actions& aActions)
+{
+  const auto& primary = mDatabases[aRecord.mPrimary];
+  bool isQuiet = aNow - std::max(primary.mHeardAt, mStartedAt) > kQuiet;
+  const auto* listed = Find(aAround, aRecord.mPrimary);
+  if (isQuiet || listed == nullptr || listed->mIsLeaving) {
+    ProbeAll(aAround, kProbeInterval, aNow, aActions);
+  }
+  auto interval = isQuiet ? kAskInterval : kCalmAskInterval;
+  if (aNow - mAskedFellowsAt >= interval) {
+    mAskedFellowsAt = aNow;
+    aActions.emplace_back(AskFellows{});
+  }
+  auto cause = FindCause(aRecord, aAround, aNow);
+  if (cause == Cause::None || ChooseTarget(aRecord, aAround, aNow).empty()) {
+    return;
+  }
+  mCause = cause;
+  auto record = aRecord;
+  record.mPhase = GroupPhase::Changing;
+  ++record.mChange;
+  Write(std::move(record), aRevision, aNow, aActions);
+}
+
+PromotionPlan::Cause PromotionPlan::FindCause(const GroupRecord& aRecord,
+                                              const Surroundings& aAround,
+                                              TimePoint aNow) const
+{
+  for (const auto& it : mDatabases) {
+    bool isRecent = aNow - it.second.mAskedAt < kReportAge;
+    bool leads = it.second.mReport.mRole == DatabaseRole::Primary;
+    bool isOther = it.first != aRecord.mPrimary;
+    if (isRecent && leads && isOther && it.second.mReport.mTerm > aRecord.mTerm) {
+      return Cause::ReplacedUnasked;
+    }
+  }
+  const auto* listed = Find(aAround, aRecord.mPrimary);
+  if (listed == nullptr || listed->mIsLeaving) {
+    return Cause::Leaving;
+  }
+  auto known = mDatabases.find(aRecord.mPrimary);
+  auto heardAt = known == mDatabases.end() ? TimePoint{} : known->second.mHeardAt;
+  bool isSilent = aNow - std::max(heardAt, mStartedAt) > kSilence;
+  if (!IsOutOfReach(aAround, aNow)) {
+    return Cause::None;
+  }
+  return isSilent ? Cause::Silent : Cause::OutOfReachOfMost;
+}
+
+// Whether most of the fleet has answered, and most of those that have do not hear from
+// the primary. One that is cut off itself hears from few fellows.
+bool PromotionPlan::IsOutOfReach(const Surroundings& aAround, TimePoint aNow) const
+{
+  std::size_t answered = 0;
+  std::size_t reached = 0;
+  std::size_t lost = 0;
+  for (const auto& it : aAround.mDaemons) {
+    auto fellow = mFellows.find(it);
+    if (fellow == mFellows.end()) {
+      continue;
+    }
+    if (aNow - fellow->second.mAnsweredAt > kFellowAge) {
+      continue;
+    }
+    ++answered;
+    if (fellow->second.mSilence) {
+      ++(*fellow->second.mSilence < kSilence ? reached : lost);
+    }
+  }
+  return answered * 2 > aAround.mDaemons.size() && lost > reached;
+}
+
+void PromotionPlan::StepChanging(const GroupRecord& aRecord,
+                                 std::uint64_t aRevision,
+                                 const Surroundings& aAround,
+                                 TimePoint aNow,
+                                 Actions& aActions)
+{
+  if (mChange != aRecord.mChange) {
+    mChange = aRecord.mChange;
+    mChangingSince = aNow;
+    mClosedAt = TimePoint{};
+    mStoodDown.clear();
+    mOrdered.clear();
+    mIsOrderRefused = false;
+  }
+  ProbeAll(aAround, kChangeProbeInterval, aNow, aActions);
+  if (!IsClosed(aRecord, aAround, aNow, aActions)) {
+    return;
+  }
+  if (mClosedAt == TimePoint{}) {
+    mClosedAt = aNow;
+  }
+  if (FinishIfTaken(aRecord, aRevision, aAround, aNow, aActions)) {
+    return;
+  }
+  auto limit = mIsOrderRefused ? kRefusedOrderPause : kOrderLimit;
+  if (!mOrdered.empty() && aNow - mOrderedAt < limit) {
+    return;
+  }
+  auto target = ChooseTarget(aRecord, aAround, aNow);
+  if (target.empty()) {
+    return;
+  }
+  mOrdered = target;
+  mOrderedAt = aNow;
+  mIsOrderRefused = false;
+  aActions.emplace_back(OrderPromotion{ target });
+}
+
+bool PromotionPlan::IsClosed(const GroupRecord& aRecord,
+                             const Surroundings& aAround,
+                             TimePoint aNow,
+                             Actions& aActions) const
+{
+  // Contact that ended before the record was there ends for good after this.
+  if (aNow - mChangingSince > kContactLimit + kContactMargin) {
+    return true;
+  }
+  AskStandDown ask{ aRecord.mChange, {} };
+  for (const auto& it : aAround.mDaemons) {
+    if (mStoodDown.count(it) == 0) {
+      ask.mDaemons.push_back(it);
+    }
+  }
+  if (ask.mDaemons.empty()) {
+    return true;
+  }
+  aActions.emplace_back(std::move(ask));
+  return false;
+}
+
+// The replica with the longest log. While the old primary answers, one that holds all
+// of its log is waited for. Empty if none is fit, or it is too early to tell.
+std::string PromotionPlan::ChooseTarget(const GroupRecord& aRecord,
+                                        const Surroundings& aAround,
+                                        TimePoint aNow) const
+{
+  const Known* best = nullptr;
+  std::string name;
+  bool isAnyMissing = false;
+  auto since = mClosedAt != TimePoint{} ? mClosedAt : aNow - kReportAge;
+  for (const auto* it : aAround.mDatabases) {
+    if (it->mName == aRecord.mPrimary || it->mIsLeaving) {
+      continue;
+    }
+    auto known = mDatabases.find(it->mName);
+    bool isKnown = known != mDatabases.end() && known->second.mAskedAt >= since;
+    if (!isKnown) {
+      isAnyMissing = true;
+      continue;
+    }
+    if (best == nullptr || best->mReport.mReceived < known->second.mReport.mReceived) {
+      best = &known->second;
+      name = it->mName;
+    }
+  }
+  if (best == nullptr || mClosedAt == TimePoint{}) {
+    return name;
+  }
+  auto passed = aNow - mClosedAt;
+  if (isAnyMissing && passed < kReportPatience) {
+    return {};
+  }
+  auto old = mDatabases.find(aRecord.mPrimary);
+  bool doesOldAnswer = old != mDatabases.end() && old->second.mAskedAt >= mClosedAt;
+  if (!doesOldAnswer) {
+    // Its last answer may be on the way.
+    bool isExpected = mCause == Cause::Leaving && passed < kReportPatience;
+    return isExpected ? std::string() : name;
+  }
+  bool isBehind = best->mReport.mReceived < old->second.mReport.mReceived;
+  return isBehind && passed < kCatchUpLimit ? std::string() : name;
+}
+
+// Whether a database leads a newer term than the old primary's: that one is recorded.
+bool PromotionPlan::FinishIfTaken(const GroupRecord& aRecord,
+                                  std::uint64_t aRevision,
+                                  const Surroundings& aAround,
+                                  TimePoint aNow,
+                                  Actions& aActions)
+{
+  const ListedDatabase* found = nullptr;
+  std::uint64_t term = aRecord.mTerm;
+  for (const auto* it : aAround.mDatabases) {
+    const auto& known = mDatabases[it->mName];
+    bool isRecent = known.mAskedAt >= mClosedAt;
+    bool leads = known.mReport.mRole == DatabaseRole::Primary;
+    if (isRecent && leads && known.mReport.mTerm > term) {
+      found = it;
+      term = known.mReport.mTerm;
+    }
+  }
+  if (found == nullptr) {
+    return false;
+  }
+  auto record = aRecord;
+  record.mPhase = GroupPhase::Serving;
+  record.mPrimary = found->mName;
+  record.mTerm = term;
+  if (Find(aAround, aRecord.mPrimary) != nullptr && aNow >= mWriteAgainAt) {
+    aActions.emplace_back(OrderDemotion{ aRecord.mPrimary, term });
+  }
+  Write(std::move(record), aRevision, aNow, aActions);
+  return true;
+}
+
+void PromotionPlan::ProbeAll(const Surroundings& aAround,
+                             Duration aInterval,
+                             TimePoint aNow,
+                             Actions& aActions)
+{
+  for (const auto* it : aAround.mDatabases) {
+    auto& known = mDatabases[it->mName];
+    if (aNow - known.mProbedAt >= aInterval) {
+      known.mProbedAt = aNow;
+      aActions.emplace_back(Probe{ it->mName });
+    }
+  }
+}
+
+void PromotionPlan::Write(GroupRecord aRecord,
+                          std::uint64_t aRevision,
+                          TimePoint aNow,
+                          Actions& aActions)
+{
+  if (aNow < mWriteAgainAt) {
+    return;
+  }
+  mWriteAgainAt = aNow + kWriteLimit;
+  aActions.emplace_back(WriteRecord{ std::move(aRecord), aRevision });
+}
+
+} // namespace sesameway
--- a/src/core/Routing.cpp
+++ b/src/core/Routing.cpp
@@ -96,6 +96,18 @@
   return std::prev(it)->mAt;
 }
 
+std::optional<LogPosition> HeadHistory::HeadSince(TimePoint aAt) const
+{
+  auto it = std::lower_bound(
+    mSamples.begin(), mSamples.end(), aAt, [](const Sample& aSample, TimePoint aTime) {
+      return aSample.mAt < aTime;
+    });
+  if (it == mSamples.end()) {
+    return std::nullopt;
+  }
+  return it->mHead;
+}
+
 RouteChoice ChooseForRead(const GroupView& aView,
                           const HeadHistory& aHistory,
                           const ReadNeed& aNeed,
--- /dev/null
+++ b/src/core/SharedConnection.cpp
@@ -0,0 +1,81 @@
+#include "sesameway/SharedConnection.h"
+
+#include <algorithm>
+
+namespace sesameway {
+
+namespace {
+
+// A connection that must be emptied first counts as this many commands.
+constexpr std::size_t kResetDistance = 100;
+
+} // namespace
+
+// A single value can't be taken back, so a connection with a value that the session has
+// not set is emptied, prepared statements included.
+std::vector<ConnectionCommand> ConnectionContents::CatchUp(const SessionValues& aValues)
+{
+  std::vector<ConnectionCommand> commands;
+  if (HoldsOther(aValues)) {
+    ConnectionCommand reset;
+    reset.mKind = CommandKind::Reset;
+    commands.push_back(std::move(reset));
+    mValues.clear();
+    mPrepared.clear();
+  }
+  for (const auto& it : aValues) {
+    auto here = mValues.find(it.first);
+    if (here != mValues.end() && here->second == it.second) {
+      continue;
+    }
+    ConnectionCommand set;
+    set.mKind = CommandKind::Set;
+    set.mName = it.first;
+    set.mText = it.second;
+    commands.push_back(std::move(set));
+  }
+  mValues = aValues;
+  return commands;
+}
+
+std::string ConnectionContents::NameOf(const PreparedStatement& aStatement,
+                                       std::vector<ConnectionCommand>& aCommands)
+{
+  auto& name = mPrepared[{ aStatement.mIsWrite, aStatement.mShape }];
+  if (!name.empty()) {
+    return name;
+  }
+  name = std::to_string(mNextName++);
+  name.insert(name.begin(), 'p');
+  ConnectionCommand prepare;
+  prepare.mKind = CommandKind::Prepare;
+  prepare.mName = name;
+  prepare.mText = aStatement.mShape;
+  prepare.mPreparesWrite = aStatement.mIsWrite;
+  aCommands.push_back(std::move(prepare));
+  return name;
+}
+
+void ConnectionContents::Forget(const PreparedStatement& aStatement)
+{
+  mPrepared.erase({ aStatement.mIsWrite, aStatement.mShape });
+}
+
+std::size_t ConnectionContents::Distance(const SessionValues& aValues) const
+{
+  if (HoldsOther(aValues)) {
+    return kResetDistance + aValues.size();
+  }
+  return aValues.size() - std::count_if(mValues.begin(), mValues.end(), [&](auto& aIt) {
+           return aValues.at(aIt.first) == aIt.second;
+         });
+}
+
+bool ConnectionContents::HoldsOther(const SessionValues& aValues) const
+{
+  return std::any_of(mValues.begin(), mValues.end(), [&](const auto& aIt) {
+    return aValues.count(aIt.first) == 0;
+  });
+}
+
+} // namespace sesameway
--- a/src/daemon/Engine.cpp
+++ b/src/daemon/Engine.cpp
@@ -172,6 +172,12 @@
   }
 }
 
+// Terms keep old primaries out here; there are no records of changes.
+void Engine::OnStandDown(const std::string&, std::uint64_t, std::function<void()> aDone)
+{
+  aDone();
+}
+
 void Engine::Execute(GroupRequest aRequest, peer::AnswerCallback aDone)
 {
   if (auto home = LocalHome(aRequest.mGroup)) {
--- a/src/daemon/Engine.h
+++ b/src/daemon/Engine.h
@@ -53,6 +53,9 @@
   peer::PrimaryHint OnPrimary(const std::string& aGroup) override;
   void OnAnnounce(const std::string& aGroup,
                   const peer::PrimaryHint& aPrimary) override;
+  void OnStandDown(const std::string& aGroup,
+                   std::uint64_t aChange,
+                   std::function<void()> aDone) override;
 
   // Sends an admitted statement to the group: here if this is a home, else to one.
   void Execute(GroupRequest aRequest, peer::AnswerCallback aDone);
--- a/src/daemon/Log.cpp
+++ b/src/daemon/Log.cpp
@@ -13,8 +13,8 @@
 namespace {
 
 constexpr Duration kWriteInterval = milliseconds(20);
-// Beyond this a statement writes lines itself: the log is slower than the statements.
-constexpr std::size_t kMaxWaiting = 100'000;
+// Beyond this lines are dropped and counted: the log is slower than the statements.
+constexpr std::size_t kMaxWaiting = 20'000;
 
 // glog takes one mutex of the process for each line. Statements on different workers
 // would meet there, so only this thread does.
@@ -36,10 +36,11 @@
 
   void Push(std::string aText)
   {
-    mQueue.push(std::move(aText));
-    if (mQueue.unsafe_size() > kMaxWaiting) {
-      Write();
+    if (mQueue.unsafe_size() >= kMaxWaiting) {
+      ++mDropped;
+      return;
     }
+    mQueue.push(std::move(aText));
   }
 
   void Write()
@@ -49,6 +50,9 @@
     while (mQueue.try_pop(text)) {
       LOG(INFO) << text;
     }
+    if (auto dropped = mDropped.exchange(0); dropped > 0) {
+      LOG(WARNING) << Line("log_lines_dropped").With("lines", dropped);
+    }
   }
 
 private:
@@ -64,6 +68,7 @@
   // Taken by those who write, never by a statement.
   std::mutex mWriting;
   std::atomic<bool> mStopping = false;
+  std::atomic<std::size_t> mDropped = 0;
   std::thread mThread;
 };
 
--- a/src/daemon/Log.h
+++ b/src/daemon/Log.h
@@ -50,7 +50,8 @@
 }
 
 // Hands over a statement's line to one thread that writes them all, within
-// milliseconds. Waits only where the log is far behind.
+// milliseconds. Never waits: where the log is far behind, lines are dropped and
+// counted.
 void LogStatement(const Line& aLine);
 // Writes the lines handed over so far, before the process ends.
 void FlushStatementLines();
--- a/src/peer/CapnpPeers.cpp
+++ b/src/peer/CapnpPeers.cpp
@@ -20,6 +20,9 @@
 
 // A daemon that does not take a connection for this long is taken as out of reach.
 constexpr auto kConnectTimeout = 500 * kj::MILLISECONDS;
+// A connection may go silent without breaking while new ones work: after this long
+// without any answer the next call opens a new one.
+constexpr Duration kSilenceLimit = milliseconds(800);
 // Time for the answer to travel beyond the statement's own deadline.
 constexpr auto kAnswerAllowance = milliseconds(20);
 
@@ -221,6 +224,16 @@
     return kj::READY_NOW;
   }
 
+  kj::Promise<void> standDown(StandDownContext aContext) override
+  {
+    auto params = aContext.getParams();
+    auto paf = kj::newPromiseAndFulfiller<bool>();
+    Settler<bool> settle(mMailbox, kj::mv(paf.fulfiller));
+    mHandler->OnStandDown(
+      params.getGroup(), params.getChange(), [settle] { settle(true); });
+    return paf.promise.then([](bool) {});
+  }
+
 private:
   MailboxPtr mMailbox;
   Handler* mHandler;
@@ -238,6 +251,8 @@
   kj::Own<kj::AsyncIoStream> mStream;
   capnp::TwoPartyClient mClient;
   wire::Peer::Client mPeer;
+  // When the first call was sent that has had no answer, nor has one after it.
+  std::optional<TimePoint> mUnansweredSince;
 };
 
 class Loop;
@@ -439,6 +454,26 @@
       [](std::optional<bool>) {});
   }
 
+  void StandDown(const std::string& aAddress,
+                 const std::string& aGroup,
+                 std::uint64_t aChange,
+                 TimePoint aDeadline,
+                 std::function<void(bool)> aDone) override
+  {
+    Call<bool>(
+      aAddress,
+      aDeadline,
+      [aGroup, aChange](wire::Peer::Client aPeer) {
+        auto request = aPeer.standDownRequest();
+        request.setGroup(aGroup);
+        request.setChange(aChange);
+        return request.send().then([](auto) { return true; });
+      },
+      [done = std::move(aDone)](std::optional<bool> aIsDone) {
+        done(aIsDone.value_or(false));
+      });
+  }
+
   // On the loop's thread.
   template<typename Value>
   void Settle(kj::Promise<Value> aPromise,
@@ -571,8 +606,10 @@
   {
     mMailbox->Post(
       [this, aAddress, aDeadline, aFunction, done = std::move(aDone)]() mutable {
-        kj::Promise<Value> promise =
-          LinkTo(aAddress).then([aFunction](wire::Peer::Client aPeer) mutable {
+        auto sentAt = Clock::now();
+        kj::Promise<Value> promise = LinkTo(aAddress).then(
+          [this, aAddress, sentAt, aFunction](wire::Peer::Client aPeer) mutable {
+            OnSent(aAddress, sentAt);
             return kj::Promise<Value>(aFunction(kj::mv(aPeer)));
           });
         std::weak_ptr<Link> link;
@@ -580,13 +617,40 @@
         if (it != mLinks.end()) {
           link = it->second;
         }
+        auto onValue =
+          [this, aAddress, done = std::move(done)](std::optional<Value> aValue) {
+            OnAnswer(aAddress, aValue.has_value());
+            done(std::move(aValue));
+          };
         Settle<Value>(kj::mv(promise),
                       aDeadline,
-                      std::move(done),
+                      std::move(onValue),
                       [this, aAddress, link] { Forget(aAddress, link); });
       });
   }
 
+  void OnSent(const std::string& aAddress, TimePoint aSentAt)
+  {
+    auto it = mLinks.find(aAddress);
+    if (it != mLinks.end() && !it->second->mUnansweredSince) {
+      it->second->mUnansweredSince = aSentAt;
+    }
+  }
+
+  void OnAnswer(const std::string& aAddress, bool aHasCome)
+  {
+    auto it = mLinks.find(aAddress);
+    if (it == mLinks.end()) {
+      return;
+    }
+    auto& since = it->second->mUnansweredSince;
+    if (aHasCome) {
+      since.reset();
+    } else if (since && Clock::now() - *since > kSilenceLimit) {
+      Forget(aAddress, it->second);
+    }
+  }
+
   std::string mListenAddress;
   Handler* mHandler;
   MailboxPtr mMailbox;
--- a/src/peer/Peer.h
+++ b/src/peer/Peer.h
@@ -91,6 +91,11 @@
                               double aWanted) = 0;
   virtual PrimaryHint OnPrimary(const std::string& aGroup) = 0;
   virtual void OnAnnounce(const std::string& aGroup, const PrimaryHint& aPrimary) = 0;
+  // Sends nothing more to the group's primary until a record of that change, or a later
+  // one, says that it is over. `aDone` may be called on any thread.
+  virtual void OnStandDown(const std::string& aGroup,
+                           std::uint64_t aChange,
+                           std::function<void()> aDone) = 0;
 };
 
 struct HelloReply
@@ -136,6 +141,12 @@
                         const std::string& aGroup,
                         const PrimaryHint& aPrimary,
                         TimePoint aDeadline) = 0;
+  // False without an answer.
+  virtual void StandDown(const std::string& aAddress,
+                         const std::string& aGroup,
+                         std::uint64_t aChange,
+                         TimePoint aDeadline,
+                         std::function<void(bool)> aDone) = 0;
 };
 
 } // namespace sesameway::peer
--- a/src/platform/Platform.h
+++ b/src/platform/Platform.h
@@ -74,6 +74,30 @@
                    std::function<void(std::optional<std::vector<Vm>>)> aDone) = 0;
 };
 
+struct Changes
+{
+  std::vector<Object> mObjects;
+  // All changes of the kind up to it are here.
+  std::uint64_t mRevision = 0;
+  // The store no longer has all changes since the revision asked for: list anew.
+  bool mIsHistoryGone = false;
+};
+
+// What changes in the store, kind by kind: the part of a name before its first slash.
+class ChangeFeed
+{
+public:
+  virtual ~ChangeFeed() = default;
+  virtual void ListKind(const std::string& aKind,
+                        TimePoint aDeadline,
+                        std::function<void(std::optional<Listing>)> aDone) = 0;
+  // Answers as soon as there is a change after the revision, else at `aWaitUntil`.
+  virtual void ChangesAfter(const std::string& aKind,
+                            std::uint64_t aRevision,
+                            TimePoint aWaitUntil,
+                            std::function<void(std::optional<Changes>)> aDone) = 0;
+};
+
 std::shared_ptr<Platform> MakeGrpcPlatform(const std::string& aAddress);
 
 } // namespace sesameway::platform
--- /dev/null
+++ b/src/proxy/Backend.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "proxy/Transport.h"
+#include "sesameway/Catalogue.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace sesameway::proxy {
+
+// A connection to a database, for one statement or transaction.
+struct Lease
+{
+  std::uint64_t mConnection = 0;
+  std::string mDatabase;
+  std::string mGroup;
+  bool mIsPrimary = false;
+  DatabaseLinkPtr mLink;
+  std::shared_ptr<ConnectionContents> mContents;
+};
+using LeasePtr = std::shared_ptr<Lease>;
+
+// What a statement or transaction needs of a group of databases.
+struct LeaseNeed
+{
+  std::string mGroup;
+  std::string mOrganisation;
+  std::uint32_t mPriority = 0;
+  // Of waiting for the connection.
+  TimePoint mDeadline;
+  bool mNeedsPrimary = false;
+  // Reads see all that was acknowledged before this time, and this position.
+  TimePoint mFreshSince{};
+  std::optional<LogPosition> mToken;
+  // For choosing among idle connections.
+  const SessionValues* mValues = nullptr;
+  // One that has just failed to serve it.
+  std::string mAvoid;
+};
+
+// Nothing has been sent.
+struct Refusal
+{
+  ReplyCode mCode = ReplyCode::Busy;
+  std::string mReason;
+  TimePoint mRetryAt;
+};
+using LeaseDone = std::function<void(tl::expected<LeasePtr, Refusal>)>;
+
+// The databases as sessions see them. All calls on the loop's thread; callbacks may
+// come before the call returns.
+class Backend
+{
+public:
+  virtual ~Backend() = default;
+  // A number to drop the need by, until the callback.
+  virtual std::uint64_t Acquire(const LeaseNeed& aNeed, LeaseDone aDone) = 0;
+  virtual void Drop(std::uint64_t aTicket) = 0;
+  // A broken one is closed.
+  virtual void Release(const LeasePtr& aLease, bool aIsBroken) = 0;
+  // Whether answers of the group's primary may be believed now.
+  virtual bool MayUsePrimary(const std::string& aGroup) const = 0;
+  // What a replica's log must hold for data that is fresh since then; none if that is
+  // not known.
+  virtual std::optional<LogPosition> HeadSince(const std::string& aGroup,
+                                               TimePoint aSince) const = 0;
+  virtual void OnSent(const Lease& aLease) = 0;
+  // An answer came; `aSentAt`: when its statement was sent.
+  virtual void OnReply(const Lease& aLease,
+                       const ConnectionReply& aReply,
+                       TimePoint aSentAt) = 0;
+};
+
+// Wakes its owner once. Setting it again replaces what was set.
+class Alarm
+{
+public:
+  virtual ~Alarm() = default;
+  virtual void Set(TimePoint aWhen, std::function<void()> aTask) = 0;
+  virtual void Cancel() = 0;
+};
+
+// The rest of what a session needs.
+class SessionHost
+{
+public:
+  virtual ~SessionHost() = default;
+  virtual TimePoint Now() const = 0;
+  virtual std::unique_ptr<Alarm> NewAlarm() = 0;
+  // Null until one is known.
+  virtual CataloguePtr Current() const = 0;
+  // Within the organisation's rate; false: refused, with when to come back.
+  virtual void Admit(const Organisation& aOrganisation,
+                     TimePoint aDeadline,
+                     std::function<void(bool, TimePoint)> aVerdict) = 0;
+  // Sessions end as soon as they can.
+  virtual bool IsDraining() const = 0;
+  virtual void OnStatement(const std::string& aRoute,
+                           ReplyCode aCode,
+                           Duration aLatency) = 0;
+};
+
+} // namespace sesameway::proxy
--- /dev/null
+++ b/src/proxy/CallerRun.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "proxy/Backend.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace sesameway::proxy {
+
+// One caller's session: its values and prepared statements live here, not on a database
+// connection, which it holds for a statement or a transaction only.
+class CallerRun
+  : public CallerSession
+  , public std::enable_shared_from_this<CallerRun>
+{
+public:
+  CallerRun(std::shared_ptr<CallerStream> aStream,
+            SessionHost& aHost,
+            Backend& aBackend);
+
+  void OnConnect(const std::string& aRoute, const std::string& aKey) override;
+  void OnRequest(CallerRequest aRequest) override;
+  void OnGone() override;
+
+  // Ends the session as soon as nothing is under way.
+  void Drain();
+  // Rolls back an open transaction, whose next statement is refused as aborted.
+  void EndTransaction(const char* aReason);
+  bool IsIdle() const { return !mIsBusy && mTransaction == TransactionState::None; }
+  bool IsInTransaction() const { return mTransaction != TransactionState::None; }
+
+private:
+  // What is being tried for the request at hand.
+  struct Attempt
+  {
+    CallerRequest mRequest;
+    CommandKind mCommand = CommandKind::Read;
+    std::optional<PreparedStatement> mPrepared;
+    TimePoint mReceivedAt{};
+    TimePoint mDeadline{};
+    TimePoint mSentAt{};
+    int mSends = 0;
+    // Set when a send may have taken effect and no answer came.
+    bool mIsUnsure = false;
+    bool mHasTimedOut = false;
+    bool mNeedsPrimary = false;
+    std::string mAvoid;
+    // For the log: why the last try failed, where it was sent last, how fresh that
+    // database had to be.
+    std::string mCause;
+    std::string mDatabase;
+    std::optional<LogPosition> mAfter;
+  };
+
+  bool CheckPermission();
+  void OnData();
+  void OnBegin();
+  void OnCommit();
+  void OnRollback();
+  void OnPrepare();
+  void StartAttempt(CommandKind aCommand);
+  void Admit(std::function<void()> aThen);
+  void Acquire();
+  void OnLease(tl::expected<LeasePtr, Refusal> aLease);
+  void Send();
+  void SendBegin();
+  void SendStatement();
+  void SendBatch(std::vector<ConnectionCommand> aCommands,
+                 std::function<void(ConnectionReply)> aThen);
+  void OnReplies(std::vector<ConnectionReply> aReplies,
+                 const std::function<void(ConnectionReply)>& aThen);
+  // What a replica's log must hold for the request.
+  std::optional<LogPosition> FreshAfter(const Attempt& aAttempt) const;
+  void OnOutcome(ConnectionReply aReply);
+  void OnDone(ConnectionReply aReply);
+  void OnNotRun(ConnectionReply aReply);
+  void OnLost();
+  void OnDeadline();
+  void RetryOrFail(ReplyCode aCode, const std::string& aReason);
+  void RetryLater();
+  bool MayRetry() const;
+  // Ends the request with an answer, and the transaction if it can't go on.
+  void Fail(ReplyCode aCode, const std::string& aDetail);
+  void Answer(ConnectionReply aReply);
+  void GiveBack(bool aIsBroken);
+  void RollBack();
+  void RestInTransaction();
+  bool IsTransactionBegun() const { return mLease && mHasBegun; }
+  void Log(const Attempt& aAttempt,
+           const ConnectionReply& aReply,
+           Duration aTook) const;
+
+  std::shared_ptr<CallerStream> mStream;
+  SessionHost& mHost;
+  Backend& mBackend;
+  std::unique_ptr<Alarm> mAlarm;
+  std::unique_ptr<Alarm> mPause;
+
+  std::string mRouteName;
+  std::string mKeyHash;
+  CataloguePtr mCatalogue;
+  const RouteEntry* mRoute = nullptr;
+  std::string mOrganisation;
+
+  SessionValues mValues;
+  std::map<std::string, PreparedStatement> mPrepared;
+  // What the session's own commits reached.
+  std::optional<LogPosition> mToken;
+  std::string mTokenGroup;
+
+  TransactionState mTransaction = TransactionState::None;
+  bool mIsReadOnly = false;
+  bool mHasWritten = false;
+  // The database has been told of the transaction.
+  bool mHasBegun = false;
+  // A statement of the transaction has been answered.
+  bool mHasAnswered = false;
+  TimePoint mBegunAt{};
+  // The next statement of the failed transaction is told why.
+  const char* mEndedBy = nullptr;
+
+  std::optional<Attempt> mAttempt;
+  LeasePtr mLease;
+  std::uint64_t mTicket = 0;
+  bool mIsBusy = false;
+  bool mIsSending = false;
+  bool mIsGone = false;
+  bool mIsOver = false;
+};
+
+} // namespace sesameway::proxy
--- /dev/null
+++ b/src/proxy/CoordinatorRun.cpp
@@ -0,0 +1,286 @@
+#include "proxy/CoordinatorRun.h"
+
+#include "daemon/Log.h"
+
+namespace sesameway::proxy {
+
+namespace {
+
+constexpr Duration kWriteTimeout = milliseconds(1000);
+constexpr Duration kStatusTimeout = milliseconds(700);
+constexpr Duration kFellowTimeout = milliseconds(500);
+// The answer comes when the last statements at the primary have ended.
+constexpr Duration kStandDownTimeout = milliseconds(900);
+constexpr Duration kOrderTimeout = milliseconds(2000);
+
+} // namespace
+
+CoordinatorRun::CoordinatorRun(Parts aParts,
+                               const peer::Member& aSelf,
+                               std::uint32_t aRank)
+  : mParts(std::move(aParts))
+  , mSelf(aSelf)
+  , mLease(aSelf.mName, aSelf.mAddress, aSelf.mIncarnation, aRank)
+{
+}
+
+void CoordinatorRun::OnRecord(const std::optional<StoredObject>& aObject)
+{
+  auto now = Clock::now();
+  if (!aObject) {
+    mLease.OnNone(now);
+    return;
+  }
+  auto record = ParseCoordinatorRecord(aObject->mBody);
+  if (!record) {
+    LOG(WARNING)
+      << daemon::Line("coordinator_record_unreadable").With("expected", record.error());
+    return;
+  }
+  mLease.OnRecord(*record, aObject->mRevision, now);
+}
+
+void CoordinatorRun::Tick()
+{
+  auto now = Clock::now();
+  if (auto write = mLease.Next(now)) {
+    Write(*write);
+  }
+  bool isCoordinator = mLease.IsHolder(now);
+  if (isCoordinator != mIsCoordinator) {
+    mIsCoordinator = isCoordinator;
+    mPlans.clear();
+    mAsked.clear();
+    LOG(INFO) << daemon::Line(isCoordinator ? "coordinator" : "coordinator_over")
+                   .With("fence", mLease.Fence());
+  }
+  if (!isCoordinator) {
+    return;
+  }
+  for (const auto& it : mParts.mFleet.Groups()) {
+    StepGroup(it, now);
+  }
+}
+
+void CoordinatorRun::Write(const CoordinatorLease::Write& aWrite)
+{
+  auto now = Clock::now();
+  auto onResult = [self =
+                     shared_from_this()](std::optional<platform::PutResult> aResult) {
+    auto revision = aResult
+                      ? std::optional(aResult->mApplied ? aResult->mObject.mRevision
+                                                        : std::uint64_t{ 0 })
+                      : std::nullopt;
+    self->mLease.OnWritten(revision, Clock::now());
+    if (aResult && aResult->mObject.mRevision != 0) {
+      const auto& object = aResult->mObject;
+      self->mParts.mSync.Apply(
+        { object.mName, object.mVersion, object.mRevision, object.mBody, false });
+    }
+  };
+  mParts.mStore.Put(kCoordinatorObject,
+                    FormatCoordinatorRecord(aWrite.mRecord),
+                    aWrite.mExpected,
+                    false,
+                    now + kWriteTimeout,
+                    std::move(onResult));
+}
+
+void CoordinatorRun::StepGroup(const std::string& aGroup, TimePoint aNow)
+{
+  const auto* leadership = mParts.mFleet.FindLeadership(aGroup);
+  if (leadership == nullptr) {
+    return;
+  }
+  auto& plan = mPlans.try_emplace(aGroup, aGroup).first->second;
+  PromotionPlan::Surroundings around;
+  around.mDatabases = mParts.mFleet.OfGroup(aGroup);
+  around.mSelf = mSelf.mName;
+  for (const auto& it : mParts.mMembers()) {
+    around.mDaemons.push_back(it.mName);
+  }
+  for (const auto* it : around.mDatabases) {
+    plan.OnHeard(it->mName, mParts.mFleet.HeardAt(it->mName));
+  }
+  const auto& record = leadership->Record();
+  plan.OnFellow(mSelf.mName, mParts.mFleet.Silence(record.mPrimary, aNow), aNow);
+  auto actions = plan.Step(record, leadership->Revision(), around, aNow);
+  for (const auto& it : actions) {
+    std::visit([&](const auto& aAction) { Do(aGroup, aAction); }, it);
+  }
+}
+
+void CoordinatorRun::Do(const std::string& aGroup, const PromotionPlan::Probe& aAction)
+{
+  ConnectionCommand status;
+  status.mKind = CommandKind::Status;
+  auto askedAt = Clock::now();
+  auto onReply = [self = shared_from_this(), aGroup, aAction, askedAt](
+                   std::optional<ConnectionReply> aReply) {
+    auto* plan = self->PlanOf(aGroup);
+    bool hasRow = aReply && aReply->mCode == ReplyCode::Done && !aReply->mRows.empty();
+    if (plan == nullptr || !hasRow) {
+      return;
+    }
+    if (auto report = self->mParts.mReadStatus(aReply->mRows.front())) {
+      plan->OnReport(aAction.mDatabase, *report, askedAt);
+    }
+  };
+  mParts.mFleet.Ask(
+    aAction.mDatabase, status, askedAt + kStatusTimeout, std::move(onReply));
+}
+
+void CoordinatorRun::Do(const std::string& aGroup, const PromotionPlan::AskFellows&)
+{
+  for (const auto& it : mParts.mMembers()) {
+    if (it.mName == mSelf.mName) {
+      continue;
+    }
+    auto onHint = [self = shared_from_this(), aGroup, name = it.mName](
+                    std::optional<peer::PrimaryHint> aHint) {
+      self->mParts.mLoop.Post([self, aGroup, name, aHint] {
+        auto* plan = self->PlanOf(aGroup);
+        if (plan == nullptr || !aHint) {
+          return;
+        }
+        auto silence =
+          aHint->mDatabase.empty() ? std::nullopt : std::optional(aHint->mSeenAge);
+        plan->OnFellow(name, silence, Clock::now());
+      });
+    };
+    mPeers->Primary(
+      it.mAddress, aGroup, Clock::now() + kFellowTimeout, std::move(onHint));
+  }
+}
+
+void CoordinatorRun::Do(const std::string& aGroup,
+                        const PromotionPlan::WriteRecord& aAction)
+{
+  const auto& record = aAction.mRecord;
+  auto* plan = PlanOf(aGroup);
+  LOG(INFO) << daemon::Line("write_group_record")
+                 .With("group", aGroup)
+                 .With("phase", kGroupPhaseNames.Name(record.mPhase))
+                 .With("change", record.mChange)
+                 .With("term", record.mTerm)
+                 .With("primary", record.mPrimary)
+                 .With("cause", kPromotionCauseNames.Name(plan->CauseOf()))
+                 .With("expected", aAction.mExpected);
+  auto onResult = [self = shared_from_this(),
+                   aGroup](std::optional<platform::PutResult> aResult) {
+    if (aResult && aResult->mObject.mRevision != 0) {
+      const auto& object = aResult->mObject;
+      self->mParts.mSync.Apply(
+        { object.mName, object.mVersion, object.mRevision, object.mBody, false });
+    }
+    if (auto* plan = self->PlanOf(aGroup)) {
+      plan->OnWritten(aResult ? std::optional(aResult->mApplied) : std::nullopt,
+                      Clock::now());
+    }
+  };
+  mParts.mStore.Put(kGroupPrefix + aGroup,
+                    FormatGroupRecord(record),
+                    aAction.mExpected,
+                    false,
+                    Clock::now() + kWriteTimeout,
+                    std::move(onResult));
+}
+
+void CoordinatorRun::Do(const std::string& aGroup,
+                        const PromotionPlan::AskStandDown& aAction)
+{
+  auto now = Clock::now();
+  auto change = aAction.mChange;
+  for (const auto& it : aAction.mDaemons) {
+    auto& askedAt = mAsked[{ it, aGroup }];
+    if (now - askedAt < kStandDownTimeout) {
+      continue;
+    }
+    askedAt = now;
+    auto onDone = [self = shared_from_this(), aGroup, change, name = it](bool aIsDone) {
+      self->mParts.mLoop.Post([self, aGroup, change, name, aIsDone] {
+        self->mAsked.erase({ name, aGroup });
+        auto* plan = self->PlanOf(aGroup);
+        if (plan != nullptr && aIsDone) {
+          plan->OnStoodDown(name, change);
+        }
+      });
+    };
+    if (it == mSelf.mName) {
+      mParts.mFleet.StandDown(aGroup, change, [onDone] { onDone(true); });
+    } else {
+      mPeers->StandDown(
+        AddressOf(it), aGroup, change, now + kStandDownTimeout, std::move(onDone));
+    }
+  }
+}
+
+void CoordinatorRun::Do(const std::string& aGroup,
+                        const PromotionPlan::OrderPromotion& aAction)
+{
+  auto fence = mLease.Fence();
+  LOG(INFO) << daemon::Line("order_promotion")
+                 .With("group", aGroup)
+                 .With("database", aAction.mDatabase)
+                 .With("fence", fence);
+  auto onDone =
+    [self = shared_from_this(), aGroup, aAction](std::optional<bool> aIsTaken) {
+      LOG(INFO) << daemon::Line("promotion_answered")
+                     .With("group", aGroup)
+                     .With("database", aAction.mDatabase)
+                     .With("outcome",
+                           !aIsTaken   ? "no_answer"
+                           : *aIsTaken ? "taken"
+                                       : "refused");
+      if (auto* plan = self->PlanOf(aGroup)) {
+        plan->OnOrdered(aIsTaken, Clock::now());
+      }
+    };
+  mParts.mOrders.Promote(aGroup,
+                         aAction.mDatabase,
+                         mSelf.mName,
+                         fence,
+                         Clock::now() + kOrderTimeout,
+                         std::move(onDone));
+}
+
+void CoordinatorRun::Do(const std::string& aGroup,
+                        const PromotionPlan::OrderDemotion& aAction)
+{
+  LOG(INFO) << daemon::Line("order_demotion")
+                 .With("group", aGroup)
+                 .With("database", aAction.mDatabase)
+                 .With("term", aAction.mTerm);
+  ConnectionCommand demote;
+  demote.mKind = CommandKind::Demote;
+  demote.mTerm = aAction.mTerm;
+  mParts.mFleet.Ask(aAction.mDatabase,
+                    demote,
+                    Clock::now() + kStatusTimeout,
+                    [aAction](std::optional<ConnectionReply> aReply) {
+                      LOG(INFO) << daemon::Line("demotion_answered")
+                                     .With("database", aAction.mDatabase)
+                                     .With("outcome",
+                                           aReply ? kReplyCodeNames.Name(aReply->mCode)
+                                                  : "no_answer");
+                    });
+}
+
+PromotionPlan* CoordinatorRun::PlanOf(const std::string& aGroup)
+{
+  auto it = mPlans.find(aGroup);
+  bool isStill = mIsCoordinator && mLease.IsHolder(Clock::now());
+  return isStill && it != mPlans.end() ? &it->second : nullptr;
+}
+
+std::string CoordinatorRun::AddressOf(const std::string& aDaemon) const
+{
+  for (const auto& it : mParts.mMembers()) {
+    if (it.mName == aDaemon) {
+      return it.mAddress;
+    }
+  }
+  return {};
+}
+
+} // namespace sesameway::proxy
--- /dev/null
+++ b/src/proxy/DatabaseFleet.cpp
@@ -0,0 +1,455 @@
+#include "proxy/DatabaseFleet.h"
+
+#include "daemon/Log.h"
+
+#include <algorithm>
+
+namespace sesameway::proxy {
+
+namespace {
+
+// One way, about: within a zone, between zones of a region, between regions.
+constexpr Duration kZoneDistance = microseconds(300);
+constexpr Duration kRegionDistance = milliseconds(1);
+constexpr Duration kFarDistance = milliseconds(20);
+// Connections of each database that are kept for status commands and for moments in
+// which an old connection is still counted.
+constexpr std::size_t kReserve = 2;
+// A primary's head is asked for when the last one known is this old.
+constexpr Duration kHeadAge = milliseconds(400);
+// For so long after a read that needed one.
+constexpr Duration kHeadNeed = seconds(3);
+constexpr Duration kStatusTimeout = milliseconds(600);
+// How long statements at a primary may take to end once it is to be changed.
+constexpr Duration kStandDownGrace = milliseconds(250);
+constexpr Duration kStandDownPoll = milliseconds(20);
+constexpr Duration kRetryPause = milliseconds(300);
+
+} // namespace
+
+DatabaseFleet::DatabaseFleet(Loop& aLoop,
+                             Databases& aDatabases,
+                             const Settings& aSettings)
+  : mLoop(aLoop)
+  , mDatabases(aDatabases)
+  , mZone(aSettings.mZone)
+  , mRegions(aSettings.mRegions)
+{
+}
+
+void DatabaseFleet::SetCatalogue(CataloguePtr aCatalogue)
+{
+  mCatalogue = std::move(aCatalogue);
+  SetLimits();
+}
+
+void DatabaseFleet::SetDaemonZones(const std::vector<std::string>& aZones)
+{
+  mDaemonsByZone.clear();
+  for (const auto& it : aZones) {
+    ++mDaemonsByZone[it];
+  }
+  mDaemons = std::max<std::size_t>(1, aZones.size());
+  SetLimits();
+}
+
+void DatabaseFleet::OnListed(const ListedDatabase& aDatabase)
+{
+  const auto* known = mList.Find(aDatabase.mName);
+  bool isOther = known != nullptr && (known->mAddress != aDatabase.mAddress ||
+                                      known->mGroup != aDatabase.mGroup);
+  if (!mList.Put(aDatabase)) {
+    return;
+  }
+  LOG(INFO) << daemon::Line("database_listed")
+                 .With("database", aDatabase.mName)
+                 .With("group", aDatabase.mGroup)
+                 .With("address", aDatabase.mAddress)
+                 .With("zone", aDatabase.mZone)
+                 .With("leaving", aDatabase.mIsLeaving)
+                 .With("role", kDatabaseRoleNames.Name(aDatabase.mRole));
+  auto& pool = mPools[aDatabase.mName];
+  if (pool && isOther) {
+    pool->Retire();
+    pool.reset();
+  }
+  if (!pool) {
+    pool = std::make_shared<DatabasePool>(mLoop, mDatabases, aDatabase);
+  }
+  pool->SetListed(aDatabase);
+  pool->SetLimit(LimitOf(aDatabase));
+  mGroups[aDatabase.mGroup];
+}
+
+void DatabaseFleet::OnRemoved(const std::string& aName)
+{
+  mList.Remove(aName, Clock::now());
+}
+
+void DatabaseFleet::OnRecord(const GroupRecord& aRecord, std::uint64_t aRevision)
+{
+  if (!mGroups[aRecord.mGroup].mLeadership.OnRecord(aRecord, aRevision)) {
+    return;
+  }
+  LOG(INFO) << daemon::Line("group_record")
+                 .With("group", aRecord.mGroup)
+                 .With("phase", kGroupPhaseNames.Name(aRecord.mPhase))
+                 .With("change", aRecord.mChange)
+                 .With("term", aRecord.mTerm)
+                 .With("primary", aRecord.mPrimary)
+                 .With("revision", aRevision);
+  Tick();
+}
+
+void DatabaseFleet::SetContact(TimePoint aContact)
+{
+  mContact = std::max(mContact, aContact);
+}
+
+void DatabaseFleet::StandDown(const std::string& aGroup,
+                              std::uint64_t aChange,
+                              std::function<void()> aDone)
+{
+  auto& leadership = mGroups[aGroup].mLeadership;
+  leadership.StandDown(aChange);
+  auto until = Clock::now() + kStandDownGrace;
+  auto timer = std::make_shared<Timer>(mLoop);
+  auto poll = std::make_shared<std::function<void()>>();
+  *poll = [this, aGroup, aChange, until, timer, poll, done = std::move(aDone)] {
+    auto busy = BusyAtPrimary(aGroup);
+    if (busy > 0 && Clock::now() < until) {
+      timer->Set(Clock::now() + kStandDownPoll, *poll);
+      return;
+    }
+    auto pool = FindPool(mGroups[aGroup].mLeadership.Record().mPrimary);
+    if (busy > 0 && pool) {
+      pool->CloseBusy();
+    }
+    LOG(INFO) << daemon::Line("stood_down")
+                   .With("group", aGroup)
+                   .With("change", aChange)
+                   .With("broken_off", busy);
+    auto finish = done;
+    // The function holds itself.
+    *poll = nullptr;
+    finish();
+  };
+  auto begin = *poll;
+  begin();
+}
+
+void DatabaseFleet::Tick()
+{
+  auto now = Clock::now();
+  auto names = mList.Names();
+  if (mList.Forget(now)) {
+    for (const auto& it : names) {
+      if (mList.Find(it) == nullptr) {
+        LOG(INFO) << daemon::Line("database_gone").With("database", it);
+        auto pool = mPools.extract(it);
+        pool.mapped()->Retire();
+      }
+    }
+  }
+  for (auto& it : mGroups) {
+    AskForHead(it.first, it.second, now);
+  }
+  std::vector<std::uint64_t> tickets;
+  for (const auto& it : mPending) {
+    if (it.second.mDatabase.empty()) {
+      tickets.push_back(it.first);
+    }
+  }
+  for (auto it : tickets) {
+    if (mPending.count(it) > 0) {
+      Place(it);
+    }
+  }
+}
+
+std::set<std::string> DatabaseFleet::Groups() const
+{
+  std::set<std::string> groups;
+  for (const auto& it : mGroups) {
+    groups.insert(it.first);
+  }
+  return groups;
+}
+
+const Leadership* DatabaseFleet::FindLeadership(const std::string& aGroup) const
+{
+  auto it = mGroups.find(aGroup);
+  return it == mGroups.end() ? nullptr : &it->second.mLeadership;
+}
+
+void DatabaseFleet::Ask(const std::string& aDatabase,
+                        const ConnectionCommand& aCommand,
+                        TimePoint aDeadline,
+                        std::function<void(std::optional<ConnectionReply>)> aDone)
+{
+  auto pool = FindPool(aDatabase);
+  if (!pool) {
+    aDone(std::nullopt);
+    return;
+  }
+  pool->Ask(aCommand, true, aDeadline, std::move(aDone));
+}
+
+TimePoint DatabaseFleet::HeardAt(const std::string& aDatabase) const
+{
+  auto pool = FindPool(aDatabase);
+  return pool ? pool->HeardAt() : TimePoint{};
+}
+
+std::uint64_t DatabaseFleet::Acquire(const LeaseNeed& aNeed, LeaseDone aDone)
+{
+  auto ticket = mNextTicket++;
+  mPending[ticket] = { aNeed, std::move(aDone), {} };
+  Place(ticket);
+  return ticket;
+}
+
+void DatabaseFleet::Drop(std::uint64_t aTicket)
+{
+  auto node = mPending.extract(aTicket);
+  if (node.empty()) {
+    return;
+  }
+  if (auto pool = FindPool(node.mapped().mDatabase)) {
+    pool->Drop(aTicket);
+  }
+}
+
+void DatabaseFleet::Release(const LeasePtr& aLease, bool aIsBroken)
+{
+  auto pool = FindPool(aLease->mDatabase);
+  if (pool) {
+    pool->Release(aLease, aIsBroken);
+  } else {
+    aLease->mLink->Close();
+  }
+}
+
+bool DatabaseFleet::MayUsePrimary(const std::string& aGroup) const
+{
+  const auto* leadership = FindLeadership(aGroup);
+  return leadership != nullptr && leadership->MayUse(mContact, Clock::now());
+}
+
+std::optional<LogPosition> DatabaseFleet::HeadSince(const std::string& aGroup,
+                                                    TimePoint aSince) const
+{
+  auto it = mGroups.find(aGroup);
+  return it == mGroups.end() ? std::nullopt : it->second.mHeads.HeadSince(aSince);
+}
+
+std::optional<Duration> DatabaseFleet::Silence(const std::string& aDatabase,
+                                               TimePoint aNow) const
+{
+  auto pool = FindPool(aDatabase);
+  return pool ? pool->Silence(aNow) : std::nullopt;
+}
+
+void DatabaseFleet::OnSent(const Lease& aLease)
+{
+  if (auto pool = FindPool(aLease.mDatabase)) {
+    pool->OnSent(Clock::now());
+  }
+}
+
+// A primary's position counts only while this daemon knows that it is still the
+// primary.
+void DatabaseFleet::OnReply(const Lease& aLease,
+                            const ConnectionReply& aReply,
+                            TimePoint aSentAt)
+{
+  if (auto pool = FindPool(aLease.mDatabase)) {
+    pool->OnReply(aReply, aSentAt);
+  }
+  auto& group = mGroups[aLease.mGroup];
+  bool isPrimary = group.mLeadership.Record().mPrimary == aLease.mDatabase;
+  if (isPrimary && aReply.mPosition && MayUsePrimary(aLease.mGroup)) {
+    group.mHeads.Observe(*aReply.mPosition, aSentAt);
+    group.mHeadAt = std::max(group.mHeadAt, aSentAt);
+  }
+}
+
+void DatabaseFleet::Place(std::uint64_t aTicket)
+{
+  auto& pending = mPending.at(aTicket);
+  const auto& need = pending.mNeed;
+  if (!need.mNeedsPrimary) {
+    PlaceRead(aTicket);
+    return;
+  }
+  auto& leadership = mGroups[need.mGroup].mLeadership;
+  auto now = Clock::now();
+  if (!leadership.MayUse(mContact, now)) {
+    // A change is over soon; without contact nobody knows when it is back.
+    bool isWorthWaiting = leadership.IsChanging() || leadership.Revision() == 0;
+    if (!isWorthWaiting) {
+      Refuse(aTicket, "no_contact", now + kRetryPause);
+    }
+    return;
+  }
+  auto pool = FindPool(leadership.Record().mPrimary);
+  if (pool && !pool->IsSuspect(now)) {
+    PlaceAt(aTicket, pool, true);
+  }
+}
+
+void DatabaseFleet::PlaceRead(std::uint64_t aTicket)
+{
+  const auto& need = mPending.at(aTicket).mNeed;
+  auto& group = mGroups[need.mGroup];
+  auto now = Clock::now();
+  group.mFreshReadAt = now;
+  auto after = group.mHeads.HeadSince(need.mFreshSince);
+  if (after && need.mToken) {
+    after = std::max(*after, *need.mToken);
+  }
+  bool mayUsePrimary = group.mLeadership.MayUse(mContact, now);
+  std::vector<ReadCandidate> candidates;
+  for (const auto* it : mList.OfGroup(need.mGroup)) {
+    auto pool = FindPool(it->mName);
+    bool isPrimary = it->mName == group.mLeadership.Record().mPrimary;
+    if (!pool || pool->IsSuspect(now) || (isPrimary && !mayUsePrimary) ||
+        (!isPrimary && it->mIsLeaving)) {
+      continue;
+    }
+    ReadCandidate candidate;
+    candidate.mName = it->mName;
+    candidate.mIsPrimary = isPrimary;
+    candidate.mDistance = DistanceTo(it->mZone);
+    candidate.mExpectedWait = pool->ExpectedWait(need.mOrganisation);
+    candidate.mPosition = pool->Position();
+    candidate.mIsToAvoid = it->mName == need.mAvoid;
+    candidates.push_back(std::move(candidate));
+  }
+  auto choice = ChooseForFreshRead(candidates, after);
+  if (choice) {
+    const auto& chosen = candidates[*choice];
+    PlaceAt(aTicket, FindPool(chosen.mName), chosen.mIsPrimary);
+  } else if (!mayUsePrimary && !group.mLeadership.IsChanging()) {
+    Refuse(aTicket, "no_fresh_database", now + kRetryPause);
+  }
+}
+
+void DatabaseFleet::PlaceAt(std::uint64_t aTicket,
+                            const PoolPtr& aPool,
+                            bool aIsPrimary)
+{
+  auto& pending = mPending.at(aTicket);
+  auto now = Clock::now();
+  auto wait = aPool->ExpectedWait(pending.mNeed.mOrganisation);
+  if (now + wait > pending.mNeed.mDeadline) {
+    Refuse(aTicket, "overloaded", now + wait);
+    return;
+  }
+  pending.mDatabase = aPool->Listed().mName;
+  aPool->Acquire(aTicket,
+                 pending.mNeed,
+                 [this, aTicket, aIsPrimary](tl::expected<LeasePtr, Refusal> aLease) {
+                   auto it = mPending.find(aTicket);
+                   if (it == mPending.end()) {
+                     return;
+                   }
+                   const auto& need = it->second.mNeed;
+                   bool isBlocked = aIsPrimary && !MayUsePrimary(need.mGroup);
+                   if (aLease && isBlocked) {
+                     Release(*aLease, false);
+                   }
+                   if (!aLease || isBlocked) {
+                     // Another database may do, or the same one a little later.
+                     it->second.mNeed.mAvoid = it->second.mDatabase;
+                     it->second.mDatabase.clear();
+                     return;
+                   }
+                   (*aLease)->mIsPrimary = aIsPrimary;
+                   auto node = mPending.extract(it);
+                   node.mapped().mDone(std::move(aLease));
+                 });
+}
+
+void DatabaseFleet::Refuse(std::uint64_t aTicket,
+                           const char* aReason,
+                           TimePoint aRetryAt)
+{
+  auto node = mPending.extract(aTicket);
+  node.mapped().mDone(tl::unexpected(Refusal{ ReplyCode::Busy, aReason, aRetryAt }));
+}
+
+DatabaseFleet::PoolPtr DatabaseFleet::FindPool(const std::string& aName) const
+{
+  auto it = mPools.find(aName);
+  return it == mPools.end() ? nullptr : it->second;
+}
+
+Duration DatabaseFleet::DistanceTo(const std::string& aZone) const
+{
+  if (aZone == mZone) {
+    return kZoneDistance;
+  }
+  auto own = mRegions.find(mZone);
+  auto other = mRegions.find(aZone);
+  bool isNear =
+    own != mRegions.end() && other != mRegions.end() && own->second == other->second;
+  return isNear ? kRegionDistance : kFarDistance;
+}
+
+// All daemons together stay below what the database takes. Those of its own zone, which
+// read there, get twice as many as the others.
+std::size_t DatabaseFleet::LimitOf(const ListedDatabase& aDatabase) const
+{
+  const auto* group = mCatalogue ? mCatalogue->FindGroup(aDatabase.mGroup) : nullptr;
+  std::size_t cap = group != nullptr ? group->mConnections : kReserve + 1;
+  cap = std::max<std::size_t>(cap, kReserve + 1) - kReserve;
+  auto it = mDaemonsByZone.find(aDatabase.mZone);
+  auto near = it == mDaemonsByZone.end() ? 0 : it->second;
+  auto far = std::max(mDaemons, near) - near;
+  auto share = std::max<std::size_t>(1, cap / std::max<std::size_t>(1, 2 * near + far));
+  if (aDatabase.mZone != mZone) {
+    return share;
+  }
+  return std::max(2 * share,
+                  near == 0 ? share : (cap - std::min(cap, far * share)) / near);
+}
+
+void DatabaseFleet::SetLimits()
+{
+  for (const auto& it : mPools) {
+    it.second->SetLimit(LimitOf(it.second->Listed()));
+  }
+}
+
+void DatabaseFleet::AskForHead(const std::string& aName, Group& aGroup, TimePoint aNow)
+{
+  bool isNeeded = aNow - aGroup.mFreshReadAt < kHeadNeed &&
+                  aNow - aGroup.mHeadAt > kHeadAge && !aGroup.mIsAsking;
+  auto pool = FindPool(aGroup.mLeadership.Record().mPrimary);
+  if (!isNeeded || !pool || !MayUsePrimary(aName)) {
+    return;
+  }
+  aGroup.mIsAsking = true;
+  ConnectionCommand status;
+  status.mKind = CommandKind::Status;
+  Lease lease;
+  lease.mDatabase = pool->Listed().mName;
+  lease.mGroup = aName;
+  auto onReply = [this, aName, lease, aNow](std::optional<ConnectionReply> aReply) {
+    mGroups[aName].mIsAsking = false;
+    if (aReply) {
+      OnReply(lease, *aReply, aNow);
+    }
+  };
+  pool->Ask(status, false, aNow + kStatusTimeout, std::move(onReply));
+}
+
+std::size_t DatabaseFleet::BusyAtPrimary(const std::string& aGroup) const
+{
+  const auto* leadership = FindLeadership(aGroup);
+  auto pool = leadership == nullptr ? nullptr : FindPool(leadership->Record().mPrimary);
+  return pool ? pool->Busy() : 0;
+}
+
+} // namespace sesameway::proxy
--- /dev/null
+++ b/src/proxy/DatabaseFleet.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "proxy/Backend.h"
+#include "proxy/DatabasePool.h"
+#include "proxy/Loop.h"
+#include "proxy/Settings.h"
+#include "sesameway/Leadership.h"
+#include "sesameway/ReplicaChoice.h"
+#include "sesameway/Routing.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace sesameway::proxy {
+
+// All databases as this daemon sees them: which it may use for what, and its
+// connections to them. On the loop's thread.
+class DatabaseFleet : public Backend
+{
+public:
+  DatabaseFleet(Loop& aLoop, Databases& aDatabases, const Settings& aSettings);
+
+  void SetCatalogue(CataloguePtr aCatalogue);
+  // Zones of all daemons, this one included, to share out connections.
+  void SetDaemonZones(const std::vector<std::string>& aZones);
+  void OnListed(const ListedDatabase& aDatabase);
+  void OnRemoved(const std::string& aName);
+  void OnRecord(const GroupRecord& aRecord, std::uint64_t aRevision);
+  // When it was last known that all changes of records up to then are here.
+  void SetContact(TimePoint aContact);
+  TimePoint Contact() const { return mContact; }
+  // Sends nothing more to the group's primary. Calls back when nothing is under way
+  // there.
+  void StandDown(const std::string& aGroup,
+                 std::uint64_t aChange,
+                 std::function<void()> aDone);
+  // Every 50 ms or so.
+  void Tick();
+
+  std::vector<const ListedDatabase*> OfGroup(const std::string& aGroup) const
+  {
+    return mList.OfGroup(aGroup);
+  }
+  std::set<std::string> Groups() const;
+  const Leadership* FindLeadership(const std::string& aGroup) const;
+  // A status or demote command.
+  void Ask(const std::string& aDatabase,
+           const ConnectionCommand& aCommand,
+           TimePoint aDeadline,
+           std::function<void(std::optional<ConnectionReply>)> aDone);
+  TimePoint HeardAt(const std::string& aDatabase) const;
+  std::optional<Duration> Silence(const std::string& aDatabase, TimePoint aNow) const;
+
+  std::uint64_t Acquire(const LeaseNeed& aNeed, LeaseDone aDone) override;
+  void Drop(std::uint64_t aTicket) override;
+  void Release(const LeasePtr& aLease, bool aIsBroken) override;
+  bool MayUsePrimary(const std::string& aGroup) const override;
+  std::optional<LogPosition> HeadSince(const std::string& aGroup,
+                                       TimePoint aSince) const override;
+  void OnSent(const Lease& aLease) override;
+  void OnReply(const Lease& aLease,
+               const ConnectionReply& aReply,
+               TimePoint aSentAt) override;
+
+private:
+  using PoolPtr = std::shared_ptr<DatabasePool>;
+  struct Group
+  {
+    Leadership mLeadership;
+    HeadHistory mHeads;
+    TimePoint mHeadAt{};
+    TimePoint mFreshReadAt{};
+    bool mIsAsking = false;
+  };
+  struct Pending
+  {
+    LeaseNeed mNeed;
+    LeaseDone mDone;
+    // Where it waits; empty while it waits for a primary.
+    std::string mDatabase;
+  };
+
+  void Place(std::uint64_t aTicket);
+  void PlaceAt(std::uint64_t aTicket, const PoolPtr& aPool, bool aIsPrimary);
+  void PlaceRead(std::uint64_t aTicket);
+  void Refuse(std::uint64_t aTicket, const char* aReason, TimePoint aRetryAt);
+  PoolPtr FindPool(const std::string& aName) const;
+  Duration DistanceTo(const std::string& aZone) const;
+  std::size_t LimitOf(const ListedDatabase& aDatabase) const;
+  void SetLimits();
+  void AskForHead(const std::string& aName, Group& aGroup, TimePoint aNow);
+  std::size_t BusyAtPrimary(const std::string& aGroup) const;
+
+  Loop& mLoop;
+  Databases& mDatabases;
+  std::string mZone;
+  std::map<std::string, std::string> mRegions;
+  CataloguePtr mCatalogue;
+  std::map<std::string, std::size_t> mDaemonsByZone;
+  std::size_t mDaemons = 1;
+  DatabaseList mList;
+  std::map<std::string, PoolPtr> mPools;
+  std::map<std::string, Group> mGroups;
+  std::map<std::uint64_t, Pending> mPending;
+  std::uint64_t mNextTicket = 1;
+  TimePoint mContact{};
+};
+
+} // namespace sesameway::proxy
--- /dev/null
+++ b/src/proxy/DatabasePool.cpp
@@ -0,0 +1,330 @@
+#include "proxy/DatabasePool.h"
+
+#include "daemon/Log.h"
+
+namespace sesameway::proxy {
+
+namespace {
+
+constexpr Duration kOpenTimeout = milliseconds(1500);
+// After a connection could not be opened.
+constexpr Duration kOpenPause = milliseconds(250);
+// The database has as many connections as it takes: one may be free soon.
+constexpr Duration kFullPause = milliseconds(40);
+constexpr Duration kSuspectTime = milliseconds(600);
+constexpr Duration kTickFloor = milliseconds(5);
+// A statement sent so long ago and answered says that the database is there.
+constexpr Duration kHeardRecently = milliseconds(1000);
+// In place of an organisation, on the connection for status commands.
+constexpr const char* kOwnOrganisation = "-";
+
+} // namespace
+
+DatabasePool::DatabasePool(Loop& aLoop, Databases& aDatabases, ListedDatabase aListed)
+  : mLoop(aLoop)
+  , mDatabases(aDatabases)
+  , mListed(std::move(aListed))
+  , mPlan(1)
+  , mTick(aLoop)
+{
+}
+
+// A database that started anew under its name knows nothing of old connections, which
+// break by themselves.
+void DatabasePool::SetListed(const ListedDatabase& aListed)
+{
+  mListed = aListed;
+}
+
+void DatabasePool::SetLimit(std::size_t aLimit)
+{
+  Do(mPlan.SetLimit(aLimit, Clock::now()));
+}
+
+void DatabasePool::Acquire(std::uint64_t aTicket, const LeaseNeed& aNeed, Granted aDone)
+{
+  mWaiting[aTicket] = std::move(aDone);
+  auto now = Clock::now();
+  Do(
+    mPlan.Add({ aTicket, aNeed.mOrganisation, aNeed.mPriority, aNeed.mDeadline }, now));
+}
+
+void DatabasePool::Drop(std::uint64_t aTicket)
+{
+  mPlan.Drop(aTicket);
+  mWaiting.erase(aTicket);
+}
+
+void DatabasePool::Release(const LeasePtr& aLease, bool aIsBroken)
+{
+  auto id = aLease->mConnection;
+  mBusy.erase(id);
+  auto now = Clock::now();
+  if (aIsBroken || mIsRetired) {
+    mHeld.erase(id);
+    aLease->mLink->Close();
+    Do(mPlan.OnGone(id, now));
+    return;
+  }
+  WatchIdle(id);
+  Do(mPlan.OnReleased(id, now));
+}
+
+void DatabasePool::Retire()
+{
+  mIsRetired = true;
+  Do(mPlan.SetLimit(0, Clock::now()));
+  Do(mPlan.RefuseAll(Clock::now()));
+  if (mControl) {
+    mControl->Close();
+    mControl.reset();
+  }
+}
+
+void DatabasePool::CloseBusy()
+{
+  auto busy = mBusy;
+  for (const auto& it : busy) {
+    if (auto lease = it.second.lock()) {
+      lease->mLink->Close();
+    }
+  }
+}
+
+void DatabasePool::OnReply(const ConnectionReply& aReply, TimePoint aSentAt)
+{
+  if (aReply.mCode == ReplyCode::Lost) {
+    return;
+  }
+  OnHeard(aSentAt);
+  if (aReply.mPosition) {
+    mPosition = aReply.mPosition;
+  }
+}
+
+void DatabasePool::OnHeard(TimePoint aSentAt)
+{
+  mHeardAt = std::max(mHeardAt, aSentAt);
+  mUnansweredSince.reset();
+  mSuspectUntil = TimePoint{};
+}
+
+void DatabasePool::OnSent(TimePoint aNow)
+{
+  if (!mUnansweredSince) {
+    mUnansweredSince = aNow;
+  }
+}
+
+std::optional<Duration> DatabasePool::Silence(TimePoint aNow) const
+{
+  if (mUnansweredSince) {
+    return aNow - *mUnansweredSince;
+  }
+  if (aNow - mHeardAt < kHeardRecently) {
+    return Duration::zero();
+  }
+  return std::nullopt;
+}
+
+void DatabasePool::Do(const ConnectionPlan::Actions& aActions)
+{
+  // An action's callback may lead to further actions and end the pool's last use.
+  auto self = shared_from_this();
+  for (const auto& it : aActions) {
+    std::visit([this](const auto& aAction) { Do(aAction); }, it);
+  }
+  SetTick();
+}
+
+void DatabasePool::Do(const ConnectionPlan::Grant& aGrant)
+{
+  auto node = mWaiting.extract(aGrant.mTicket);
+  auto held = mHeld.find(aGrant.mConnection);
+  if (held == mHeld.end() || node.empty()) {
+    // Closed, or dropped, by an action before this one.
+    Do(mPlan.OnGone(aGrant.mConnection, Clock::now()));
+    return;
+  }
+  auto lease = std::make_shared<Lease>();
+  lease->mConnection = aGrant.mConnection;
+  lease->mDatabase = mListed.mName;
+  lease->mGroup = mListed.mGroup;
+  lease->mLink = held->second.mLink;
+  lease->mContents = held->second.mContents;
+  mBusy[aGrant.mConnection] = lease;
+  node.mapped()(lease);
+}
+
+void DatabasePool::Do(const ConnectionPlan::Open& aOpen)
+{
+  auto now = Clock::now();
+  OnSent(now);
+  LinkTarget target{
+    mListed.mAddress, mListed.mGroup, aOpen.mOrganisation, mListed.mName
+  };
+  mDatabases.Open(
+    target, now + kOpenTimeout, [self = shared_from_this(), aOpen, now](auto aLink) {
+      self->OnOpened(aOpen.mConnection, aOpen.mOrganisation, now, std::move(aLink));
+    });
+}
+
+void DatabasePool::OnOpened(std::uint64_t aConnection,
+                            const std::string& aOrganisation,
+                            TimePoint aSentAt,
+                            tl::expected<DatabaseLinkPtr, ReplyCode> aLink)
+{
+  auto now = Clock::now();
+  if (aLink) {
+    OnHeard(aSentAt);
+    mHeld[aConnection] = { *aLink, std::make_shared<ConnectionContents>() };
+    WatchIdle(aConnection);
+    Do(mPlan.OnOpened(aConnection, now));
+    return;
+  }
+  LOG(INFO) << daemon::Line("connection_failed")
+                 .With("database", mListed.mName)
+                 .With("address", mListed.mAddress)
+                 .With("organisation", aOrganisation)
+                 .With("code", kReplyCodeNames.Name(aLink.error()))
+                 .With("took_ms", (now - aSentAt) / milliseconds(1))
+                 .With("waiting", mPlan.Waiting());
+  bool isFull =
+    aLink.error() == ReplyCode::TooManyConnections || aLink.error() == ReplyCode::Busy;
+  if (!isFull) {
+    mSuspectUntil = now + kSuspectTime;
+  }
+  Do(mPlan.OnOpenFailed(aConnection, now + (isFull ? kFullPause : kOpenPause), now));
+  if (!isFull) {
+    // They may find another database.
+    Do(mPlan.RefuseAll(now + kOpenPause));
+  }
+}
+
+void DatabasePool::WatchIdle(std::uint64_t aConnection)
+{
+  auto it = mHeld.find(aConnection);
+  if (it == mHeld.end()) {
+    return;
+  }
+  it->second.mLink->OnBroken([weak = weak_from_this(), aConnection] {
+    if (auto self = weak.lock()) {
+      self->mHeld.erase(aConnection);
+      self->Do(self->mPlan.OnGone(aConnection, Clock::now()));
+    }
+  });
+}
+
+void DatabasePool::Do(const ConnectionPlan::Close& aClose)
+{
+  auto it = mHeld.find(aClose.mConnection);
+  if (it != mHeld.end()) {
+    auto link = it->second.mLink;
+    mHeld.erase(it);
+    link->Close();
+  }
+}
+
+void DatabasePool::Do(const ConnectionPlan::Refuse& aRefuse)
+{
+  auto node = mWaiting.extract(aRefuse.mTicket);
+  if (!node.empty()) {
+    Refusal refusal{ ReplyCode::Busy, "no_connection", aRefuse.mRetryAt };
+    node.mapped()(tl::unexpected(std::move(refusal)));
+  }
+}
+
+void DatabasePool::SetTick()
+{
+  auto next = mPlan.NextTick();
+  if (next == TimePoint::max()) {
+    mTick.Cancel();
+    return;
+  }
+  mTick.Set(std::max(next, Clock::now() + kTickFloor), [weak = weak_from_this()] {
+    if (auto self = weak.lock()) {
+      self->Do(self->mPlan.OnTick(Clock::now()));
+    }
+  });
+}
+
+void DatabasePool::Ask(const ConnectionCommand& aCommand,
+                       bool aMayOpen,
+                       TimePoint aDeadline,
+                       std::function<void(std::optional<ConnectionReply>)> aDone)
+{
+  auto idle = mControl ? 0 : mPlan.TakeIdle(Clock::now());
+  auto held = mHeld.find(idle);
+  if (held != mHeld.end()) {
+    auto lease = std::make_shared<Lease>();
+    lease->mConnection = idle;
+    lease->mLink = held->second.mLink;
+    mBusy[idle] = lease;
+    auto onReply = [self = shared_from_this(), lease, done = std::move(aDone)](
+                     std::optional<ConnectionReply> aReply) {
+      bool isBroken = !aReply.has_value();
+      done(std::move(aReply));
+      self->Release(lease, isBroken);
+    };
+    AskOn(lease->mLink, aCommand, aDeadline, std::move(onReply));
+    return;
+  }
+  if (mIsControlBusy || (!mControl && !aMayOpen)) {
+    aDone(std::nullopt);
+    return;
+  }
+  mIsControlBusy = true;
+  auto onReply = [self = shared_from_this(),
+                  done = std::move(aDone)](std::optional<ConnectionReply> aReply) {
+    self->mIsControlBusy = false;
+    if (!aReply) {
+      self->mControl.reset();
+    }
+    done(std::move(aReply));
+  };
+  if (mControl) {
+    AskOn(mControl, aCommand, aDeadline, std::move(onReply));
+    return;
+  }
+  LinkTarget target{
+    mListed.mAddress, mListed.mGroup, kOwnOrganisation, mListed.mName
+  };
+  mDatabases.Open(
+    target,
+    aDeadline,
+    [self = shared_from_this(), aCommand, aDeadline, onReply](auto aLink) {
+      if (!aLink) {
+        onReply(std::nullopt);
+        return;
+      }
+      self->mControl = *aLink;
+      self->mControl->OnBroken([weak = self->weak_from_this()] {
+        if (auto pool = weak.lock()) {
+          pool->mControl.reset();
+        }
+      });
+      self->AskOn(*aLink, aCommand, aDeadline, onReply);
+    });
+}
+
+void DatabasePool::AskOn(const DatabaseLinkPtr& aLink,
+                         const ConnectionCommand& aCommand,
+                         TimePoint aDeadline,
+                         std::function<void(std::optional<ConnectionReply>)> aDone)
+{
+  auto sentAt = Clock::now();
+  OnSent(sentAt);
+  auto timer = std::make_shared<Timer>(mLoop);
+  timer->Set(aDeadline, [aLink] { aLink->Close(); });
+  auto onReplies = [self = shared_from_this(), sentAt, timer, done = std::move(aDone)](
+                     std::vector<ConnectionReply> aReplies) {
+    timer->Cancel();
+    auto& reply = aReplies.back();
+    self->OnReply(reply, sentAt);
+    done(reply.mCode == ReplyCode::Lost ? std::nullopt
+                                        : std::optional(std::move(reply)));
+  };
+  aLink->Send({ aCommand }, std::move(onReplies));
+}
+
+} // namespace sesameway::proxy
--- /dev/null
+++ b/src/proxy/DatabasePool.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "proxy/Backend.h"
+#include "proxy/Loop.h"
+#include "sesameway/ConnectionPlan.h"
+#include "sesameway/DatabaseList.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace sesameway::proxy {
+
+// This daemon's connections to one database: carries out what ConnectionPlan decides,
+// and knows when the database was heard from last.
+class DatabasePool : public std::enable_shared_from_this<DatabasePool>
+{
+public:
+  // The error: nothing was sent; when to try again.
+  using Granted = std::function<void(tl::expected<LeasePtr, Refusal>)>;
+
+  DatabasePool(Loop& aLoop, Databases& aDatabases, ListedDatabase aListed);
+
+  const ListedDatabase& Listed() const { return mListed; }
+  void SetListed(const ListedDatabase& aListed);
+  void SetLimit(std::size_t aLimit);
+  void Acquire(std::uint64_t aTicket, const LeaseNeed& aNeed, Granted aDone);
+  void Drop(std::uint64_t aTicket);
+  void Release(const LeasePtr& aLease, bool aIsBroken);
+  // The database is not to be used any more: idle connections are closed, those that
+  // wait are refused, those in use go on.
+  void Retire();
+  // Breaks all connections that are in use.
+  void CloseBusy();
+  std::size_t Busy() const { return mBusy.size(); }
+  // A command of this daemon's own, on an idle connection, or on one for such commands
+  // alone if it may be opened. None: no answer by the deadline, or no connection.
+  void Ask(const ConnectionCommand& aCommand,
+           bool aMayOpen,
+           TimePoint aDeadline,
+           std::function<void(std::optional<ConnectionReply>)> aDone);
+
+  void OnReply(const ConnectionReply& aReply, TimePoint aSentAt);
+  // When a statement was sent that the database answered, the latest such.
+  TimePoint HeardAt() const { return mHeardAt; }
+  // How long it has left statements unanswered; zero if it answers, none if none has
+  // been sent for a while.
+  std::optional<Duration> Silence(TimePoint aNow) const;
+  // A statement is on its way.
+  void OnSent(TimePoint aNow);
+  // Connecting failed a moment ago.
+  bool IsSuspect(TimePoint aNow) const { return aNow < mSuspectUntil; }
+  const std::optional<LogPosition>& Position() const { return mPosition; }
+  Duration ExpectedWait(const std::string& aOrganisation) const
+  {
+    return mPlan.ExpectedWait(aOrganisation);
+  }
+  std::size_t Waiting() const { return mPlan.Waiting(); }
+
+private:
+  struct Held
+  {
+    DatabaseLinkPtr mLink;
+    std::shared_ptr<ConnectionContents> mContents;
+  };
+  void Do(const ConnectionPlan::Actions& aActions);
+  void Do(const ConnectionPlan::Grant& aGrant);
+  void Do(const ConnectionPlan::Open& aOpen);
+  void Do(const ConnectionPlan::Close& aClose);
+  void Do(const ConnectionPlan::Refuse& aRefuse);
+  void OnOpened(std::uint64_t aConnection,
+                const std::string& aOrganisation,
+                TimePoint aSentAt,
+                tl::expected<DatabaseLinkPtr, ReplyCode> aLink);
+  void OnHeard(TimePoint aSentAt);
+  void WatchIdle(std::uint64_t aConnection);
+  void SetTick();
+  void AskOn(const DatabaseLinkPtr& aLink,
+             const ConnectionCommand& aCommand,
+             TimePoint aDeadline,
+             std::function<void(std::optional<ConnectionReply>)> aDone);
+
+  Loop& mLoop;
+  Databases& mDatabases;
+  ListedDatabase mListed;
+  ConnectionPlan mPlan;
+  Timer mTick;
+  bool mIsRetired = false;
+  std::map<std::uint64_t, Held> mHeld;
+  std::map<std::uint64_t, Granted> mWaiting;
+  // Connections in use, by number.
+  std::map<std::uint64_t, std::weak_ptr<Lease>> mBusy;
+  TimePoint mHeardAt{};
+  // The first statement sent since an answer came.
+  std::optional<TimePoint> mUnansweredSince;
+  TimePoint mSuspectUntil{};
+  std::optional<LogPosition> mPosition;
+  // Of its own, for status commands.
+  DatabaseLinkPtr mControl;
+  bool mIsControlBusy = false;
+};
+
+} // namespace sesameway::proxy
--- /dev/null
+++ b/src/proxy/Loop.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "sesameway/Time.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace sesameway::proxy {
+
+// The one thread that callers' and databases' connections, the store's calls and their
+// deadlines run on. Nothing that runs there may block.
+class Loop
+{
+public:
+  boost::asio::io_context& Io() { return mIo; }
+  // From any thread.
+  void Post(std::function<void()> aTask) { boost::asio::post(mIo, std::move(aTask)); }
+  void Run() { mIo.run(); }
+  void Stop() { mIo.stop(); }
+
+private:
+  boost::asio::io_context mIo{ 1 };
+};
+
+// Calls a function once at a time; setting it anew replaces what was set. On the loop's
+// thread only.
+class Timer
+{
+public:
+  explicit Timer(Loop& aLoop)
+    : mTimer(aLoop.Io())
+  {
+  }
+
+  void Set(TimePoint aWhen, std::function<void()> aTask)
+  {
+    // The loop's own clock stands still while the VM is suspended, so that a timer may
+    // come late; what it starts looks at Clock again.
+    mTimer.expires_after(std::max(aWhen - Clock::now(), Duration::zero()));
+    mTimer.async_wait([task = std::move(aTask)](boost::system::error_code aError) {
+      if (!aError) {
+        task();
+      }
+    });
+  }
+  void Cancel() { mTimer.cancel(); }
+
+private:
+  boost::asio::steady_timer mTimer;
+};
+
+} // namespace sesameway::proxy
--- /dev/null
+++ b/src/proxy/StoreSync.cpp
@@ -0,0 +1,225 @@
+#include "proxy/StoreSync.h"
+
+#include "daemon/Log.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace sesameway::proxy {
+
+namespace {
+
+constexpr Duration kListTimeout = milliseconds(1500);
+// After a failed call; doubled each time up to the limit.
+constexpr Duration kRetryFloor = milliseconds(150);
+constexpr Duration kRetryLimit = milliseconds(800);
+constexpr int kMaxDoublings = 4;
+
+StoredObject ToStored(const platform::Object& aObject)
+{
+  return {
+    aObject.mName, aObject.mVersion, aObject.mRevision, aObject.mBody, aObject.mDeleted
+  };
+}
+
+std::vector<StoredObject> ToStored(const std::vector<platform::Object>& aObjects)
+{
+  std::vector<StoredObject> stored;
+  stored.reserve(aObjects.size());
+  for (const auto& it : aObjects) {
+    stored.push_back(ToStored(it));
+  }
+  return stored;
+}
+
+} // namespace
+
+StoreSync::StoreSync(Loop& aLoop, platform::ChangeFeed& aFeed, std::vector<Kind> aKinds)
+  : mLoop(aLoop)
+  , mFeed(aFeed)
+{
+  for (auto& it : aKinds) {
+    auto state = std::make_unique<State>();
+    state->mKind = std::move(it);
+    state->mRetry = std::make_unique<Timer>(mLoop);
+    mStates.push_back(std::move(state));
+  }
+}
+
+void StoreSync::Start(Listener aListener)
+{
+  mListener = std::move(aListener);
+  for (auto& it : mStates) {
+    List(*it);
+  }
+}
+
+void StoreSync::Merge(const std::vector<StoredObject>& aObjects,
+                      std::uint64_t aRevision,
+                      TimePoint aContact)
+{
+  ApplyAll(aObjects);
+  for (auto& it : mStates) {
+    // A list of the store's own replaces this once it comes.
+    it->mRevision = std::max(it->mRevision, aRevision);
+    it->mIsListed |= aRevision != 0;
+  }
+  CheckKnown();
+  NoteContact(aContact);
+}
+
+void StoreSync::Apply(const StoredObject& aObject)
+{
+  ApplyAll({ aObject });
+}
+
+std::uint64_t StoreSync::Revision() const
+{
+  std::lock_guard lock(mMutex);
+  return mRevision;
+}
+
+std::vector<StoredObject> StoreSync::ChangesSince(std::uint64_t aRevision) const
+{
+  std::lock_guard lock(mMutex);
+  return mTable.ChangesSince(aRevision);
+}
+
+std::optional<StoredObject> StoreSync::Find(const std::string& aName) const
+{
+  std::lock_guard lock(mMutex);
+  const auto* object = mTable.Find(aName);
+  return object != nullptr ? std::optional(*object) : std::nullopt;
+}
+
+TimePoint StoreSync::Contact() const
+{
+  std::lock_guard lock(mMutex);
+  return mContact;
+}
+
+void StoreSync::List(State& aState)
+{
+  auto sentAt = Clock::now();
+  mFeed.ListKind(aState.mKind.mName,
+                 sentAt + kListTimeout,
+                 [this, &aState, sentAt](std::optional<platform::Listing> aListing) {
+                   if (!aListing) {
+                     OnFailure(aState);
+                     return;
+                   }
+                   std::vector<StoredObject> changed;
+                   {
+                     std::lock_guard lock(mMutex);
+                     changed = mTable.ApplyListing(aState.mKind.mName,
+                                                   ToStored(aListing->mObjects),
+                                                   aListing->mRevision);
+                   }
+                   for (const auto& it : changed) {
+                     mListener.mOnChange(it);
+                   }
+                   aState.mIsListed = true;
+                   OnSuccess(aState, aListing->mRevision, sentAt);
+                   Follow(aState);
+                 });
+}
+
+void StoreSync::Follow(State& aState)
+{
+  auto sentAt = Clock::now();
+  mFeed.ChangesAfter(
+    aState.mKind.mName,
+    aState.mRevision,
+    sentAt + aState.mKind.mWait,
+    [this, &aState, sentAt](std::optional<platform::Changes> aChanges) {
+      if (!aChanges) {
+        OnFailure(aState);
+        return;
+      }
+      if (aChanges->mIsHistoryGone) {
+        LOG(INFO) << daemon::Line("store_history_gone")
+                       .With("kind", aState.mKind.mName)
+                       .With("revision", aState.mRevision);
+        List(aState);
+        return;
+      }
+      ApplyAll(ToStored(aChanges->mObjects));
+      OnSuccess(aState, aChanges->mRevision, sentAt);
+      Follow(aState);
+    });
+}
+
+void StoreSync::OnFailure(State& aState)
+{
+  if (!mIsOut) {
+    mIsOut = true;
+    LOG(WARNING) << daemon::Line("store_lost").With("kind", aState.mKind.mName);
+  }
+  auto doublings = std::min(aState.mFailures++, kMaxDoublings);
+  auto pause = std::min(kRetryFloor * (1 << doublings), kRetryLimit);
+  aState.mRetry->Set(Clock::now() + pause, [this, &aState] {
+    aState.mIsListed ? Follow(aState) : List(aState);
+  });
+}
+
+void StoreSync::OnSuccess(State& aState, std::uint64_t aRevision, TimePoint aSentAt)
+{
+  if (mIsOut) {
+    mIsOut = false;
+    LOG(INFO) << daemon::Line("store_regained")
+                   .With("kind", aState.mKind.mName)
+                   .With("revision", aRevision);
+  }
+  aState.mFailures = 0;
+  aState.mRevision = std::max(aState.mRevision, aRevision);
+  CheckKnown();
+  if (aState.mKind.mName == kOwnKind) {
+    NoteContact(aSentAt);
+  }
+}
+
+void StoreSync::ApplyAll(const std::vector<StoredObject>& aObjects)
+{
+  for (const auto& it : aObjects) {
+    bool isNew = false;
+    {
+      std::lock_guard lock(mMutex);
+      isNew = mTable.Apply(it);
+    }
+    if (isNew) {
+      mListener.mOnChange(it);
+    }
+  }
+}
+
+void StoreSync::NoteContact(TimePoint aContact)
+{
+  {
+    std::lock_guard lock(mMutex);
+    if (aContact <= mContact) {
+      return;
+    }
+    mContact = aContact;
+  }
+  mListener.mOnContact(aContact);
+}
+
+void StoreSync::CheckKnown()
+{
+  auto revision = std::numeric_limits<std::uint64_t>::max();
+  bool isKnown = true;
+  for (const auto& it : mStates) {
+    isKnown &= it->mIsListed;
+    revision = std::min(revision, it->mRevision);
+  }
+  {
+    std::lock_guard lock(mMutex);
+    mRevision = revision;
+  }
+  if (isKnown && !mIsKnown) {
+    mIsKnown = true;
+    mListener.mOnKnown();
+  }
+}
+
+} // namespace sesameway::proxy
