--- /dev/null
+++ b/test/core/ConnectionPlanTest.cpp
@@ -0,0 +1,293 @@
+#include "sesameway/ConnectionPlan.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <optional>
+#include <set>
+
+using namespace sesameway;
+
+namespace {
+
+constexpr TimePoint kStart{ seconds(1000) };
+
+template<typename Action>
+std::vector<Action> Only(const ConnectionPlan::Actions& aActions)
+{
+  std::vector<Action> found;
+  for (const auto& it : aActions) {
+    if (const auto* action = std::get_if<Action>(&it)) {
+      found.push_back(*action);
+    }
+  }
+  return found;
+}
+
+// Does at once what the plan asks for, and checks what must always hold.
+class Database
+{
+public:
+  explicit Database(std::size_t aLimit)
+    : mPlan(aLimit)
+    , mLimit(aLimit)
+  {
+  }
+
+  void Want(std::uint64_t aTicket,
+            const std::string& aOrganisation,
+            std::uint32_t aPriority,
+            Duration aPatience)
+  {
+    mWaiting.insert(aTicket);
+    mOrganisations[aTicket] = aOrganisation;
+    Do(mPlan.Add({ aTicket, aOrganisation, aPriority, mNow + aPatience }, mNow));
+  }
+  void Release(std::uint64_t aTicket)
+  {
+    auto connection = mGranted.at(aTicket);
+    mGranted.erase(aTicket);
+    Do(mPlan.OnReleased(connection, mNow));
+  }
+  void FinishOpening(bool aIsDone)
+  {
+    if (mOpening.empty()) {
+      return;
+    }
+    auto id = *mOpening.begin();
+    mOpening.erase(mOpening.begin());
+    if (aIsDone) {
+      mOpen.insert(id);
+      Do(mPlan.OnOpened(id, mNow));
+    } else {
+      Do(mPlan.OnOpenFailed(id, mNow + milliseconds(50), mNow));
+    }
+  }
+  void Pass(Duration aTime)
+  {
+    mNow += aTime;
+    Do(mPlan.OnTick(mNow));
+  }
+  void Do(const ConnectionPlan::Actions& aActions)
+  {
+    for (const auto& it : aActions) {
+      std::visit([this](const auto& aAction) { Do(aAction); }, it);
+    }
+    RC_ASSERT(mOpen.size() + mOpening.size() <= mLimit);
+  }
+  void Do(const ConnectionPlan::Grant& aGrant)
+  {
+    RC_ASSERT(mOpen.count(aGrant.mConnection) == 1);
+    RC_ASSERT(mWaiting.erase(aGrant.mTicket) == 1);
+    RC_ASSERT(mOwner.at(aGrant.mConnection) == mOrganisations.at(aGrant.mTicket));
+    for (const auto& it : mGranted) {
+      RC_ASSERT(it.second != aGrant.mConnection);
+    }
+    mGranted[aGrant.mTicket] = aGrant.mConnection;
+  }
+  void Do(const ConnectionPlan::Open& aOpen)
+  {
+    mOpening.insert(aOpen.mConnection);
+    mOwner[aOpen.mConnection] = aOpen.mOrganisation;
+  }
+  void Do(const ConnectionPlan::Close& aClose)
+  {
+    for (const auto& it : mGranted) {
+      RC_ASSERT(it.second != aClose.mConnection);
+    }
+    RC_ASSERT(mOpen.erase(aClose.mConnection) == 1);
+  }
+  void Do(const ConnectionPlan::Refuse& aRefuse)
+  {
+    RC_ASSERT(mWaiting.erase(aRefuse.mTicket) == 1);
+  }
+
+  ConnectionPlan mPlan;
+  std::size_t mLimit;
+  TimePoint mNow = kStart;
+  std::set<std::uint64_t> mWaiting;
+  std::set<std::uint64_t> mOpening;
+  std::set<std::uint64_t> mOpen;
+  std::map<std::uint64_t, std::string> mOwner;
+  std::map<std::uint64_t, std::string> mOrganisations;
+  std::map<std::uint64_t, std::uint64_t> mGranted;
+};
+
+} // namespace
+
+class ConnectionPlanTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(ConnectionPlanTest);
+  CPPUNIT_TEST(OpensUpToTheLimitThenWaits);
+  CPPUNIT_TEST(GivesAReleasedConnectionToItsOwnOrganisationFirst);
+  CPPUNIT_TEST(TakesAnIdleConnectionOfAnotherOrganisation);
+  CPPUNIT_TEST(DoesNotLetOneOrganisationKeepAllConnections);
+  CPPUNIT_TEST(ServesTheLowestPriorityNumberFirst);
+  CPPUNIT_TEST(RefusesAtTheDeadline);
+  CPPUNIT_TEST(OpensNothingWhileTheDatabaseRefuses);
+  CPPUNIT_TEST(ALowerLimitGivesIdleConnectionsUp);
+  CPPUNIT_TEST(HoldsInAnyOrderOfEvents);
+  CPPUNIT_TEST_SUITE_END();
+
+  static ConnectionPlan::Want Wanted(std::uint64_t aTicket,
+                                     const std::string& aOrganisation,
+                                     std::uint32_t aPriority = 1)
+  {
+    return { aTicket, aOrganisation, aPriority, kStart + seconds(1) };
+  }
+
+  // A plan with one connection of "a", which ticket 1 holds.
+  static ConnectionPlan WithOneBusy(std::uint64_t& aConnection)
+  {
+    ConnectionPlan plan(1);
+    aConnection =
+      Only<ConnectionPlan::Open>(plan.Add(Wanted(1, "a"), kStart)).at(0).mConnection;
+    plan.OnOpened(aConnection, kStart);
+    return plan;
+  }
+
+  void OpensUpToTheLimitThenWaits()
+  {
+    ConnectionPlan plan(2);
+    CPPUNIT_ASSERT_EQUAL(
+      std::size_t{ 1 },
+      Only<ConnectionPlan::Open>(plan.Add(Wanted(1, "a"), kStart)).size());
+    CPPUNIT_ASSERT_EQUAL(
+      std::size_t{ 1 },
+      Only<ConnectionPlan::Open>(plan.Add(Wanted(2, "a"), kStart)).size());
+    CPPUNIT_ASSERT(plan.Add(Wanted(3, "a"), kStart).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, plan.Waiting());
+  }
+
+  void GivesAReleasedConnectionToItsOwnOrganisationFirst()
+  {
+    std::uint64_t connection = 0;
+    auto plan = WithOneBusy(connection);
+    plan.Add(Wanted(2, "b"), kStart);
+    plan.Add(Wanted(3, "a"), kStart);
+    auto grants =
+      Only<ConnectionPlan::Grant>(plan.OnReleased(connection, kStart + milliseconds(5)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, grants.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 3 }, grants[0].mTicket);
+  }
+
+  void TakesAnIdleConnectionOfAnotherOrganisation()
+  {
+    std::uint64_t connection = 0;
+    auto plan = WithOneBusy(connection);
+    plan.OnReleased(connection, kStart);
+    auto actions = plan.Add(Wanted(2, "b"), kStart);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, Only<ConnectionPlan::Close>(actions).size());
+    CPPUNIT_ASSERT_EQUAL(std::string("b"),
+                         Only<ConnectionPlan::Open>(actions).at(0).mOrganisation);
+  }
+
+  // Load: one organisation asks without pause, another one now and then.
+  void DoesNotLetOneOrganisationKeepAllConnections()
+  {
+    std::uint64_t connection = 0;
+    auto plan = WithOneBusy(connection);
+    plan.Add(Wanted(2, "b"), kStart);
+    auto now = kStart;
+    std::uint64_t ticket = 100;
+    std::optional<TimePoint> turn;
+    while (!turn && now < kStart + seconds(1)) {
+      plan.Add(Wanted(ticket++, "a"), now);
+      now += milliseconds(20);
+      auto actions = plan.OnReleased(connection, now);
+      if (!Only<ConnectionPlan::Open>(actions).empty()) {
+        turn = now;
+      }
+    }
+    CPPUNIT_ASSERT(turn.has_value());
+    CPPUNIT_ASSERT(*turn - kStart < milliseconds(200));
+  }
+
+  void ServesTheLowestPriorityNumberFirst()
+  {
+    std::uint64_t connection = 0;
+    auto plan = WithOneBusy(connection);
+    plan.Add(Wanted(2, "a", 2), kStart);
+    plan.Add(Wanted(3, "a", 1), kStart);
+    auto grants = Only<ConnectionPlan::Grant>(plan.OnReleased(connection, kStart));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 3 }, grants.at(0).mTicket);
+  }
+
+  void RefusesAtTheDeadline()
+  {
+    std::uint64_t connection = 0;
+    auto plan = WithOneBusy(connection);
+    plan.Add(Wanted(2, "a"), kStart);
+    CPPUNIT_ASSERT(plan.NextTick() == kStart + seconds(1));
+    auto refused = Only<ConnectionPlan::Refuse>(plan.OnTick(kStart + seconds(1)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, refused.size());
+    CPPUNIT_ASSERT(refused[0].mRetryAt > kStart + seconds(1));
+    CPPUNIT_ASSERT(plan.NextTick() == TimePoint::max());
+  }
+
+  void OpensNothingWhileTheDatabaseRefuses()
+  {
+    ConnectionPlan plan(2);
+    auto open = Only<ConnectionPlan::Open>(plan.Add(Wanted(1, "a"), kStart)).at(0);
+    auto again = kStart + milliseconds(40);
+    CPPUNIT_ASSERT(plan.OnOpenFailed(open.mConnection, again, kStart).empty());
+    CPPUNIT_ASSERT(plan.Add(Wanted(2, "b"), kStart).empty());
+    CPPUNIT_ASSERT(plan.NextTick() == again);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 },
+                         Only<ConnectionPlan::Open>(plan.OnTick(again)).size());
+  }
+
+  void ALowerLimitGivesIdleConnectionsUp()
+  {
+    std::uint64_t connection = 0;
+    auto plan = WithOneBusy(connection);
+    CPPUNIT_ASSERT(plan.SetLimit(0, kStart).empty());
+    CPPUNIT_ASSERT_EQUAL(
+      std::size_t{ 1 },
+      Only<ConnectionPlan::Close>(plan.OnReleased(connection, kStart)).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, plan.Connections());
+  }
+
+  void HoldsInAnyOrderOfEvents()
+  {
+    CPPUNIT_ASSERT(rc::check([] {
+      auto limit = *rc::gen::inRange<std::size_t>(1, 5);
+      Database database(limit);
+      std::uint64_t ticket = 1;
+      for (int n = 0; n < 80; ++n) {
+        switch (*rc::gen::inRange(0, 5)) {
+          case 0:
+            database.Want(ticket++,
+                          std::string(1, static_cast<char>('a' + *rc::gen::inRange(0, 4))),
+                          *rc::gen::inRange(0, 3),
+                          milliseconds(*rc::gen::inRange(1, 900)));
+            break;
+          case 1:
+            if (!database.mGranted.empty()) {
+              database.Release(database.mGranted.begin()->first);
+            }
+            break;
+          case 2:
+            database.FinishOpening(true);
+            break;
+          case 3:
+            database.FinishOpening(*rc::gen::inRange(0, 3) > 0);
+            break;
+          default:
+            database.Pass(milliseconds(*rc::gen::inRange(1, 200)));
+        }
+      }
+      // Nobody is forgotten: once all is released and opened, all have been answered.
+      for (int n = 0; n < 400 && !database.mWaiting.empty(); ++n) {
+        database.FinishOpening(true);
+        while (!database.mGranted.empty()) {
+          database.Release(database.mGranted.begin()->first);
+        }
+        database.Pass(milliseconds(20));
+      }
+      RC_ASSERT(database.mWaiting.empty());
+    }));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ConnectionPlanTest);
--- /dev/null
+++ b/test/core/LeadershipTest.cpp
@@ -0,0 +1,164 @@
+#include "sesameway/Leadership.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace sesameway;
+
+class LeadershipTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(LeadershipTest);
+  CPPUNIT_TEST(RecordsOutliveTheirText);
+  CPPUNIT_TEST(RejectsARecordThatIsNone);
+  CPPUNIT_TEST(UsesAPrimaryOnlyWhileInContact);
+  CPPUNIT_TEST(StandsDownUntilThatChangeIsOver);
+  CPPUNIT_TEST(AnOlderRecordChangesNothing);
+  CPPUNIT_TEST(TheFirstDaemonTakesTheLeaseAtOnce);
+  CPPUNIT_TEST(AnotherWaitsUntilTheLeaseHasEnded);
+  CPPUNIT_TEST(AHolderThatWasSuspendedHoldsNothing);
+  CPPUNIT_TEST(AWriteWithoutAnswerIsNoLease);
+  CPPUNIT_TEST(ARestartedHolderDoesNotWaitForItself);
+  CPPUNIT_TEST(ALeaseGivenBackIsTakenAtOnce);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr TimePoint kStart{ seconds(1000) };
+
+  static GroupRecord Record(GroupPhase aPhase, std::uint64_t aChange)
+  {
+    return { "g", aPhase, aChange, 3, "i-1", "" };
+  }
+
+  static CoordinatorLease Holder(TimePoint aNow, std::uint64_t aRevision)
+  {
+    CoordinatorLease lease("a", "10.0.0.1:1", 7, 0);
+    lease.OnNone(aNow);
+    CPPUNIT_ASSERT(lease.Next(aNow).has_value());
+    lease.OnWritten(aRevision, aNow);
+    return lease;
+  }
+
+  void RecordsOutliveTheirText()
+  {
+    auto record = Record(GroupPhase::Changing, 4);
+    record.mTarget = "i-2";
+    CPPUNIT_ASSERT(ParseGroupRecord(FormatGroupRecord(record)) == record);
+    CoordinatorRecord coordinator{ "a \"b\"", "10.0.0.1:1", 1ULL << 62, 3, 9 };
+    CPPUNIT_ASSERT(ParseCoordinatorRecord(FormatCoordinatorRecord(coordinator)) ==
+                   coordinator);
+  }
+
+  void RejectsARecordThatIsNone()
+  {
+    CPPUNIT_ASSERT(!ParseGroupRecord("group = "));
+    CPPUNIT_ASSERT(!ParseGroupRecord("group = 'g'\nphase = 'resting'\nchange = 1"));
+    CPPUNIT_ASSERT(!ParseGroupRecord("phase = 'serving'\nchange = 1"));
+    CPPUNIT_ASSERT(!ParseGroupRecord("group = 'g'\nphase = 'serving'\nchange = -1"));
+  }
+
+  void UsesAPrimaryOnlyWhileInContact()
+  {
+    Leadership leadership;
+    CPPUNIT_ASSERT(!leadership.MayUse(kStart, kStart));
+    leadership.OnRecord(Record(GroupPhase::Serving, 1), 5);
+    CPPUNIT_ASSERT(leadership.MayUse(kStart, kStart + kContactLimit - Duration(1)));
+    CPPUNIT_ASSERT(!leadership.MayUse(kStart, kStart + kContactLimit));
+    leadership.OnRecord(Record(GroupPhase::Changing, 2), 6);
+    CPPUNIT_ASSERT(!leadership.MayUse(kStart, kStart));
+  }
+
+  void StandsDownUntilThatChangeIsOver()
+  {
+    Leadership leadership;
+    leadership.OnRecord(Record(GroupPhase::Serving, 1), 5);
+    leadership.StandDown(2);
+    CPPUNIT_ASSERT(!leadership.MayUse(kStart, kStart));
+    leadership.OnRecord(Record(GroupPhase::Changing, 2), 6);
+    CPPUNIT_ASSERT(!leadership.MayUse(kStart, kStart));
+    leadership.OnRecord(Record(GroupPhase::Serving, 2), 7);
+    CPPUNIT_ASSERT(leadership.MayUse(kStart, kStart));
+  }
+
+  void AnOlderRecordChangesNothing()
+  {
+    Leadership leadership;
+    leadership.OnRecord(Record(GroupPhase::Changing, 2), 6);
+    CPPUNIT_ASSERT(!leadership.OnRecord(Record(GroupPhase::Serving, 1), 5));
+    CPPUNIT_ASSERT(leadership.IsChanging());
+  }
+
+  void TheFirstDaemonTakesTheLeaseAtOnce()
+  {
+    CoordinatorLease lease("a", "10.0.0.1:1", 7, 0);
+    CPPUNIT_ASSERT(!lease.Next(kStart).has_value());
+    lease.OnNone(kStart);
+    auto write = lease.Next(kStart);
+    CPPUNIT_ASSERT(write && write->mExpected == 0 && write->mRecord.mFence == 1);
+    CPPUNIT_ASSERT(!lease.Next(kStart).has_value());
+    CPPUNIT_ASSERT(!lease.IsHolder(kStart));
+    lease.OnWritten(9, kStart);
+    CPPUNIT_ASSERT(lease.IsHolder(kStart));
+  }
+
+  void AnotherWaitsUntilTheLeaseHasEnded()
+  {
+    auto holder = Holder(kStart, 9);
+    CoordinatorLease other("b", "10.0.0.2:1", 8, 0);
+    other.OnRecord({ "a", "10.0.0.1:1", 7, 1, 1 }, 9, kStart);
+    auto now = kStart;
+    while (!other.Next(now)) {
+      now += milliseconds(50);
+    }
+    CPPUNIT_ASSERT(!holder.IsHolder(now));
+    other.OnWritten(10, now);
+    CPPUNIT_ASSERT(other.IsHolder(now));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 2 }, other.Fence());
+  }
+
+  void AHolderThatWasSuspendedHoldsNothing()
+  {
+    auto holder = Holder(kStart, 9);
+    CPPUNIT_ASSERT(!holder.IsHolder(kStart + kCoordinatorLease));
+    // Its renewal is refused, as another one has the record by now.
+    auto later = kStart + seconds(20);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 9 }, holder.Next(later)->mExpected);
+    holder.OnWritten(0, later);
+    CPPUNIT_ASSERT(!holder.IsHolder(later));
+  }
+
+  void AWriteWithoutAnswerIsNoLease()
+  {
+    CoordinatorLease lease("a", "10.0.0.1:1", 7, 0);
+    lease.OnNone(kStart);
+    auto write = lease.Next(kStart);
+    lease.OnWritten(std::nullopt, kStart + seconds(1));
+    CPPUNIT_ASSERT(!lease.IsHolder(kStart + seconds(1)));
+    // It has taken effect all the same: the lease begins with the next renewal.
+    lease.OnRecord(write->mRecord, 9, kStart + seconds(2));
+    CPPUNIT_ASSERT(!lease.IsHolder(kStart + seconds(2)));
+    auto renewal = lease.Next(kStart + seconds(2));
+    CPPUNIT_ASSERT(renewal && renewal->mExpected == 9);
+    lease.OnWritten(10, kStart + seconds(2));
+    CPPUNIT_ASSERT(lease.IsHolder(kStart + seconds(2)));
+  }
+
+  void ARestartedHolderDoesNotWaitForItself()
+  {
+    CoordinatorLease lease("a", "10.0.0.1:1", 8, 0);
+    lease.OnRecord({ "a", "10.0.0.1:1", 7, 4, 1 }, 9, kStart);
+    auto write = lease.Next(kStart);
+    CPPUNIT_ASSERT(write && write->mRecord.mFence == 5);
+  }
+
+  void ALeaseGivenBackIsTakenAtOnce()
+  {
+    auto holder = Holder(kStart, 9);
+    holder.Leave();
+    CPPUNIT_ASSERT(!holder.IsHolder(kStart));
+    auto write = holder.Next(kStart + kCoordinatorRenewal);
+    CPPUNIT_ASSERT(write && write->mRecord.mHolder.empty());
+    CoordinatorLease other("b", "10.0.0.2:1", 8, 0);
+    other.OnRecord(write->mRecord, 10, kStart + kCoordinatorRenewal);
+    CPPUNIT_ASSERT(other.Next(kStart + kCoordinatorRenewal).has_value());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LeadershipTest);
--- /dev/null
+++ b/test/core/ObjectTableTest.cpp
@@ -0,0 +1,179 @@
+#include "sesameway/DatabaseList.h"
+#include "sesameway/ObjectTable.h"
+#include "sesameway/ReplicaChoice.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+using namespace sesameway;
+
+class ObjectTableTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(ObjectTableTest);
+  CPPUNIT_TEST(NeverGoesBack);
+  CPPUNIT_TEST(AListRemovesWhatItLacks);
+  CPPUNIT_TEST(ARemovalMayCarryTheLastRevision);
+  CPPUNIT_TEST(TwoCopiesAgreeHoweverChangesCome);
+  CPPUNIT_TEST_SUITE_END();
+
+  static StoredObject At(const std::string& aName,
+                         std::uint64_t aRevision,
+                         bool aIsDeleted = false)
+  {
+    return { aName, aRevision, aRevision, std::to_string(aRevision), aIsDeleted };
+  }
+
+  void NeverGoesBack()
+  {
+    ObjectTable table;
+    CPPUNIT_ASSERT(table.Apply(At("config/main", 5)));
+    CPPUNIT_ASSERT(!table.Apply(At("config/main", 4)));
+    CPPUNIT_ASSERT(!table.Apply(At("config/main", 5)));
+    CPPUNIT_ASSERT_EQUAL(std::string("5"), table.Find("config/main")->mBody);
+  }
+
+  void AListRemovesWhatItLacks()
+  {
+    ObjectTable table;
+    table.Apply(At("servers/a", 3));
+    table.Apply(At("servers/b", 9));
+    table.Apply(At("config/main", 2));
+    // Older than the second entry, which it can't know.
+    auto changed = table.ApplyListing("servers", {}, 5);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, changed.size());
+    CPPUNIT_ASSERT(table.Find("servers/a") == nullptr);
+    CPPUNIT_ASSERT(table.Find("servers/b") != nullptr);
+    CPPUNIT_ASSERT(table.Find("config/main") != nullptr);
+  }
+
+  void ARemovalMayCarryTheLastRevision()
+  {
+    ObjectTable table;
+    table.Apply(At("servers/a", 3));
+    CPPUNIT_ASSERT(table.Apply(At("servers/a", 3, true)));
+    CPPUNIT_ASSERT(table.Find("servers/a") == nullptr);
+    CPPUNIT_ASSERT(!table.Apply(At("servers/a", 3)));
+    CPPUNIT_ASSERT(table.Apply(At("servers/a", 4)));
+  }
+
+  void TwoCopiesAgreeHoweverChangesCome()
+  {
+    CPPUNIT_ASSERT(rc::check([] {
+      std::vector<StoredObject> changes;
+      for (std::uint64_t revision = 1; revision < 12; ++revision) {
+        auto name = "k/" + std::to_string(*rc::gen::inRange(0, 3));
+        changes.push_back(At(name, revision, *rc::gen::inRange(0, 4) == 0));
+      }
+      ObjectTable ordered;
+      ObjectTable mixed;
+      for (const auto& it : changes) {
+        ordered.Apply(it);
+      }
+      for (int n = 0; n < 40; ++n) {
+        mixed.Apply(changes[*rc::gen::inRange<std::size_t>(0, changes.size())]);
+      }
+      for (const auto& it : ordered.ChangesSince(0)) {
+        mixed.Apply(it);
+      }
+      RC_ASSERT(mixed.ChangesSince(0) == ordered.ChangesSince(0));
+    }));
+  }
+};
+
+class DatabaseListTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(DatabaseListTest);
+  CPPUNIT_TEST(AMissingEntryCountsForAWhile);
+  CPPUNIT_TEST(AnEntryThatIsBackInTimeWasNeverGone);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr TimePoint kStart{ seconds(1000) };
+
+  static ListedDatabase Listed()
+  {
+    return { "i-1", "g", "z", "10.0.0.1:1", 3, false, DatabaseRole::Replica, 7 };
+  }
+
+  void AMissingEntryCountsForAWhile()
+  {
+    DatabaseList list;
+    list.Put(Listed());
+    list.Remove("i-1", kStart);
+    CPPUNIT_ASSERT(!list.Forget(kStart + seconds(2)));
+    CPPUNIT_ASSERT(list.Find("i-1") != nullptr);
+    CPPUNIT_ASSERT(list.Forget(list.NextForget()));
+    CPPUNIT_ASSERT(list.Find("i-1") == nullptr);
+    CPPUNIT_ASSERT(list.NextForget() == TimePoint::max());
+  }
+
+  void AnEntryThatIsBackInTimeWasNeverGone()
+  {
+    DatabaseList list;
+    list.Put(Listed());
+    list.Remove("i-1", kStart);
+    list.Put(Listed());
+    CPPUNIT_ASSERT(!list.Forget(kStart + seconds(60)));
+  }
+};
+
+class ReplicaChoiceTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(ReplicaChoiceTest);
+  CPPUNIT_TEST(ReadsAtTheNearestReplica);
+  CPPUNIT_TEST(WithoutAKnownHeadOnlyThePrimaryIsFresh);
+  CPPUNIT_TEST(PassesOverAReplicaThatIsBehind);
+  CPPUNIT_TEST(ALongQueueOutweighsNearness);
+  CPPUNIT_TEST(TriesTheOneToAvoidLast);
+  CPPUNIT_TEST_SUITE_END();
+
+  static std::vector<ReadCandidate> Three()
+  {
+    std::vector<ReadCandidate> candidates(3);
+    candidates[0] = { "near", false, microseconds(300), {}, LogPosition{ 1, 10 }, false };
+    candidates[1] = { "far", false, milliseconds(20), {}, LogPosition{ 1, 10 }, false };
+    candidates[2] = { "primary", true, milliseconds(20), {}, LogPosition{ 1, 12 }, false };
+    return candidates;
+  }
+
+  void ReadsAtTheNearestReplica()
+  {
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 },
+                         *ChooseForFreshRead(Three(), LogPosition{ 1, 9 }));
+  }
+
+  void WithoutAKnownHeadOnlyThePrimaryIsFresh()
+  {
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, *ChooseForFreshRead(Three(), std::nullopt));
+    auto replicas = Three();
+    replicas.pop_back();
+    CPPUNIT_ASSERT(!ChooseForFreshRead(replicas, std::nullopt));
+  }
+
+  void PassesOverAReplicaThatIsBehind()
+  {
+    auto candidates = Three();
+    candidates[0].mPosition = LogPosition{ 1, 5 };
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                         *ChooseForFreshRead(candidates, LogPosition{ 1, 9 }));
+  }
+
+  void ALongQueueOutweighsNearness()
+  {
+    auto candidates = Three();
+    candidates[0].mExpectedWait = milliseconds(300);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                         *ChooseForFreshRead(candidates, LogPosition{ 1, 9 }));
+  }
+
+  void TriesTheOneToAvoidLast()
+  {
+    auto candidates = Three();
+    candidates[0].mIsToAvoid = true;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                         *ChooseForFreshRead(candidates, LogPosition{ 1, 9 }));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ObjectTableTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(DatabaseListTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(ReplicaChoiceTest);
--- /dev/null
+++ b/test/core/PromotionTest.cpp
@@ -0,0 +1,377 @@
+#include "sesameway/Promotion.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+using namespace sesameway;
+
+namespace {
+
+constexpr TimePoint kStart{ seconds(1000) };
+constexpr Duration kStep = milliseconds(60);
+
+struct FakeDatabase
+{
+  ListedDatabase mListed;
+  DatabaseReport mReport;
+  bool mIsUp = true;
+};
+
+struct FakeDaemon
+{
+  Leadership mLeadership;
+  TimePoint mContact{};
+  // Answers the coordinator.
+  bool mIsReached = true;
+  // Reads the store.
+  bool mReadsStore = true;
+  bool mReachesPrimary = true;
+};
+
+// A group, its record in a store, and daemons that use the primary. One coordinator's
+// plan runs in it; what it orders is done at once or late.
+class World
+{
+public:
+  explicit World(std::size_t aDaemons)
+  {
+    for (std::size_t n = 0; n < aDaemons; ++n) {
+      mDaemons["d" + std::to_string(n)];
+    }
+    for (int n = 0; n < 3; ++n) {
+      auto name = "i-" + std::to_string(n);
+      mDatabases[name] = {
+        { name, "g", "z", "10.0.0.1:1", 3, false, DatabaseRole::Unknown, 0 },
+        { n == 0 ? DatabaseRole::Primary : DatabaseRole::Replica, 1, { 1, 10 }, {}, 0 },
+        true
+      };
+    }
+  }
+
+  std::string Primary() const { return mRecord.mPrimary; }
+  FakeDatabase& At(const std::string& aName) { return mDatabases.at(aName); }
+
+  bool MaySend(const std::string& aDaemon) const
+  {
+    const auto& daemon = mDaemons.at(aDaemon);
+    return daemon.mLeadership.MayUse(daemon.mContact, mNow);
+  }
+
+  // Whether some daemon may still send to a database that is not the one given.
+  bool IsAnySending(const std::string& aBut) const
+  {
+    return std::any_of(mDaemons.begin(), mDaemons.end(), [&](const auto& aIt) {
+      return MaySend(aIt.first) &&
+             aIt.second.mLeadership.Record().mPrimary != aBut;
+    });
+  }
+
+  void Step()
+  {
+    mNow += kStep;
+    for (auto& it : mDaemons) {
+      auto& daemon = it.second;
+      if (daemon.mReadsStore) {
+        daemon.mContact = mNow;
+        if (mRevision != 0) {
+          daemon.mLeadership.OnRecord(mRecord, mRevision);
+        }
+      }
+    }
+    RunPlan();
+    FinishPromotion();
+  }
+
+  void Run(Duration aTime)
+  {
+    auto until = mNow + aTime;
+    while (mNow < until) {
+      Step();
+    }
+  }
+
+  bool RunUntilServedBy(const std::string& aName, Duration aLimit)
+  {
+    auto until = mNow + aLimit;
+    while (mNow < until) {
+      Step();
+      if (mRecord.mPhase == GroupPhase::Serving && Primary() == aName) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  // Another daemon becomes the coordinator and knows only the store's record.
+  void ReplaceCoordinator() { mPlan = PromotionPlan("g"); }
+
+  TimePoint mNow = kStart;
+  std::map<std::string, FakeDaemon> mDaemons;
+  std::map<std::string, FakeDatabase> mDatabases;
+  GroupRecord mRecord;
+  std::uint64_t mRevision = 0;
+  bool mDoesStoreAnswer = true;
+  int mOrders = 0;
+  std::string mOrderedWhileInUse;
+  bool mAreOrdersLost = false;
+
+private:
+  void RunPlan()
+  {
+    PromotionPlan::Surroundings around;
+    around.mSelf = "d0";
+    for (const auto& it : mDatabases) {
+      around.mDatabases.push_back(&it.second.mListed);
+    }
+    for (const auto& it : mDaemons) {
+      around.mDaemons.push_back(it.first);
+      auto primary = mDatabases.find(Primary());
+      bool hears = primary != mDatabases.end() && primary->second.mIsUp &&
+                   it.second.mReachesPrimary;
+      mSilence[it.first] = hears ? Duration::zero() : mSilence[it.first] + kStep;
+    }
+    mPlan.OnFellow("d0", mSilence["d0"], mNow);
+    for (const auto& it : mPlan.Step(mRecord, mRevision, around, mNow)) {
+      std::visit([this](const auto& aAction) { Do(aAction); }, it);
+    }
+  }
+
+  void Do(const PromotionPlan::Probe& aProbe)
+  {
+    const auto& database = mDatabases.at(aProbe.mDatabase);
+    if (database.mIsUp) {
+      mPlan.OnReport(aProbe.mDatabase, database.mReport, mNow);
+    }
+  }
+  void Do(const PromotionPlan::AskFellows&)
+  {
+    for (const auto& it : mDaemons) {
+      if (it.second.mIsReached && it.first != "d0") {
+        mPlan.OnFellow(it.first, mSilence[it.first], mNow);
+      }
+    }
+  }
+  void Do(const PromotionPlan::WriteRecord& aWrite)
+  {
+    if (!mDoesStoreAnswer) {
+      mPlan.OnWritten(std::nullopt, mNow);
+      return;
+    }
+    bool isTaken = aWrite.mExpected == mRevision;
+    if (isTaken) {
+      mRecord = aWrite.mRecord;
+      ++mRevision;
+    }
+    mPlan.OnWritten(isTaken, mNow);
+  }
+  void Do(const PromotionPlan::AskStandDown& aAsk)
+  {
+    for (const auto& it : aAsk.mDaemons) {
+      auto& daemon = mDaemons.at(it);
+      if (daemon.mIsReached) {
+        daemon.mLeadership.StandDown(aAsk.mChange);
+        mPlan.OnStoodDown(it, aAsk.mChange);
+      }
+    }
+  }
+  void Do(const PromotionPlan::OrderPromotion& aOrder)
+  {
+    ++mOrders;
+    if (IsAnySending(aOrder.mDatabase)) {
+      mOrderedWhileInUse = aOrder.mDatabase;
+    }
+    if (mAreOrdersLost) {
+      mPlan.OnOrdered(std::nullopt, mNow);
+      return;
+    }
+    bool isUp = mDatabases.at(aOrder.mDatabase).mIsUp;
+    if (isUp) {
+      mPromoting = aOrder.mDatabase;
+      mPromotedAt = mNow + milliseconds(300);
+    }
+    mPlan.OnOrdered(isUp, mNow);
+  }
+  void Do(const PromotionPlan::OrderDemotion& aOrder)
+  {
+    auto& report = mDatabases.at(aOrder.mDatabase).mReport;
+    if (report.mTerm < aOrder.mTerm) {
+      report.mRole = DatabaseRole::Replica;
+    }
+  }
+
+  void FinishPromotion()
+  {
+    if (mPromoting.empty() || mNow < mPromotedAt) {
+      return;
+    }
+    std::uint64_t newest = 0;
+    for (const auto& it : mDatabases) {
+      newest = std::max(newest, it.second.mReport.mTerm);
+    }
+    auto& report = mDatabases.at(mPromoting).mReport;
+    report.mRole = DatabaseRole::Primary;
+    report.mTerm = newest + 1;
+    mPromoting.clear();
+  }
+
+  PromotionPlan mPlan{ "g" };
+  std::map<std::string, Duration> mSilence;
+  std::string mPromoting;
+  TimePoint mPromotedAt{};
+};
+
+} // namespace
+
+class PromotionTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(PromotionTest);
+  CPPUNIT_TEST(RecordsTheFirstPrimary);
+  CPPUNIT_TEST(ReplacesAPrimaryThatIsGone);
+  CPPUNIT_TEST(TakesTheReplicaWithTheLongestLog);
+  CPPUNIT_TEST(LeavesAPrimaryThatFellowsHear);
+  CPPUNIT_TEST(ReplacesAPrimaryThatMostCannotReach);
+  CPPUNIT_TEST(HandsOverFromALeavingPrimaryWithoutLoss);
+  CPPUNIT_TEST(WaitsOutADaemonThatDoesNotAnswer);
+  CPPUNIT_TEST(ANewCoordinatorFinishesWhatWasBegun);
+  CPPUNIT_TEST(OrdersAgainWhenNothingHappens);
+  CPPUNIT_TEST(NeverOrdersWhileTheOldPrimaryIsInUse);
+  CPPUNIT_TEST_SUITE_END();
+
+  void RecordsTheFirstPrimary()
+  {
+    World world(3);
+    CPPUNIT_ASSERT(world.RunUntilServedBy("i-0", seconds(1)));
+    CPPUNIT_ASSERT_EQUAL(0, world.mOrders);
+  }
+
+  void ReplacesAPrimaryThatIsGone()
+  {
+    World world(3);
+    world.Run(seconds(1));
+    world.At("i-0").mIsUp = false;
+    CPPUNIT_ASSERT(world.RunUntilServedBy("i-1", seconds(3)));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 2 }, world.mRecord.mTerm);
+  }
+
+  void TakesTheReplicaWithTheLongestLog()
+  {
+    World world(3);
+    world.Run(seconds(1));
+    world.At("i-2").mReport.mReceived = { 1, 11 };
+    world.At("i-0").mIsUp = false;
+    CPPUNIT_ASSERT(world.RunUntilServedBy("i-2", seconds(3)));
+  }
+
+  void LeavesAPrimaryThatFellowsHear()
+  {
+    World world(5);
+    world.Run(seconds(1));
+    world.mDaemons["d0"].mReachesPrimary = false;
+    world.mDaemons["d1"].mReachesPrimary = false;
+    world.Run(seconds(6));
+    CPPUNIT_ASSERT_EQUAL(0, world.mOrders);
+    CPPUNIT_ASSERT(world.MaySend("d3"));
+  }
+
+  void ReplacesAPrimaryThatMostCannotReach()
+  {
+    World world(5);
+    world.Run(seconds(1));
+    for (const char* it : { "d1", "d2", "d3" }) {
+      world.mDaemons[it].mReachesPrimary = false;
+    }
+    CPPUNIT_ASSERT(world.RunUntilServedBy("i-1", seconds(6)));
+  }
+
+  // The replicas receive the last entries late; without them nothing is ordered.
+  void HandsOverFromALeavingPrimaryWithoutLoss()
+  {
+    World world(3);
+    world.Run(seconds(1));
+    world.At("i-0").mReport.mReceived = { 1, 14 };
+    world.At("i-0").mListed.mIsLeaving = true;
+    world.Run(seconds(1));
+    CPPUNIT_ASSERT_EQUAL(0, world.mOrders);
+    world.At("i-2").mReport.mReceived = { 1, 14 };
+    CPPUNIT_ASSERT(world.RunUntilServedBy("i-2", seconds(2)));
+  }
+
+  void WaitsOutADaemonThatDoesNotAnswer()
+  {
+    World world(3);
+    world.Run(seconds(1));
+    world.mDaemons["d2"].mIsReached = false;
+    world.mDaemons["d2"].mReadsStore = false;
+    world.At("i-0").mIsUp = false;
+    world.Run(seconds(3));
+    CPPUNIT_ASSERT_EQUAL(0, world.mOrders);
+    CPPUNIT_ASSERT(world.RunUntilServedBy("i-1", seconds(4)));
+    CPPUNIT_ASSERT(world.mOrderedWhileInUse.empty());
+  }
+
+  void ANewCoordinatorFinishesWhatWasBegun()
+  {
+    World world(3);
+    world.Run(seconds(1));
+    world.At("i-0").mIsUp = false;
+    while (world.mRecord.mPhase != GroupPhase::Changing) {
+      world.Step();
+    }
+    world.ReplaceCoordinator();
+    CPPUNIT_ASSERT(world.RunUntilServedBy("i-1", seconds(5)));
+  }
+
+  void OrdersAgainWhenNothingHappens()
+  {
+    World world(3);
+    world.Run(seconds(1));
+    world.At("i-0").mIsUp = false;
+    world.mAreOrdersLost = true;
+    world.Run(seconds(4));
+    CPPUNIT_ASSERT(world.mOrders > 0);
+    world.mAreOrdersLost = false;
+    CPPUNIT_ASSERT(world.RunUntilServedBy("i-1", seconds(4)));
+  }
+
+  // Daemons lose the store, the coordinator and the primary in any order; databases die
+  // and come back; coordinators follow each other.
+  void NeverOrdersWhileTheOldPrimaryIsInUse()
+  {
+    CPPUNIT_ASSERT(rc::check([] {
+      World world(4);
+      world.Run(seconds(1));
+      for (int n = 0; n < 25; ++n) {
+        auto daemon = "d" + std::to_string(*rc::gen::inRange(0, 4));
+        auto database = "i-" + std::to_string(*rc::gen::inRange(0, 3));
+        switch (*rc::gen::inRange(0, 7)) {
+          case 0:
+            world.mDaemons[daemon].mReadsStore ^= true;
+            break;
+          case 1:
+            world.mDaemons[daemon].mIsReached ^= true;
+            break;
+          case 2:
+            world.mDaemons[daemon].mReachesPrimary ^= true;
+            break;
+          case 3:
+            world.At(database).mIsUp ^= true;
+            break;
+          case 4:
+            world.At(database).mListed.mIsLeaving ^= true;
+            break;
+          case 5:
+            world.ReplaceCoordinator();
+            break;
+          default:
+            world.mDoesStoreAnswer ^= true;
+        }
+        world.Run(milliseconds(*rc::gen::inRange(60, 2500)));
+        RC_ASSERT(world.mOrderedWhileInUse.empty());
+      }
+    }));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PromotionTest);
--- /dev/null
+++ b/test/core/SharedConnectionTest.cpp
@@ -0,0 +1,121 @@
+#include "sesameway/SharedConnection.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+using namespace sesameway;
+
+namespace {
+
+// A database connection as the database sees it.
+struct FakeConnection
+{
+  SessionValues mValues;
+  std::map<std::string, PreparedStatement> mPrepared;
+
+  void Run(const std::vector<ConnectionCommand>& aCommands)
+  {
+    for (const auto& it : aCommands) {
+      switch (it.mKind) {
+        case CommandKind::Reset:
+          mValues.clear();
+          mPrepared.clear();
+          break;
+        case CommandKind::Set:
+          mValues[it.mName] = it.mText;
+          break;
+        case CommandKind::Prepare:
+          RC_ASSERT(mPrepared.count(it.mName) == 0);
+          mPrepared[it.mName] = { it.mPreparesWrite, it.mText };
+          break;
+        default:
+          RC_FAIL("no other command belongs here");
+      }
+    }
+  }
+};
+
+} // namespace
+
+class SharedConnectionTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(SharedConnectionTest);
+  CPPUNIT_TEST(SendsOnlyValuesThatDiffer);
+  CPPUNIT_TEST(EmptiesAConnectionWithAValueTheSessionHasNot);
+  CPPUNIT_TEST(SessionsShareAPreparedStatement);
+  CPPUNIT_TEST(PreparesAgainWhatTheDatabaseForgot);
+  CPPUNIT_TEST(EachSessionFindsItsOwnValuesAndStatements);
+  CPPUNIT_TEST_SUITE_END();
+
+  void SendsOnlyValuesThatDiffer()
+  {
+    ConnectionContents contents;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 },
+                         contents.CatchUp({ { "a", "1" }, { "b", "2" } }).size());
+    auto commands = contents.CatchUp({ { "a", "1" }, { "b", "3" } });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, commands.size());
+    CPPUNIT_ASSERT(commands[0].mKind == CommandKind::Set);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), commands[0].mName);
+  }
+
+  void EmptiesAConnectionWithAValueTheSessionHasNot()
+  {
+    ConnectionContents contents;
+    contents.CatchUp({ { "a", "1" } });
+    std::vector<ConnectionCommand> commands;
+    auto first = contents.NameOf({ false, "q" }, commands);
+    commands = contents.CatchUp({ { "b", "2" } });
+    CPPUNIT_ASSERT(commands.at(0).mKind == CommandKind::Reset);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, commands.size());
+    commands.clear();
+    contents.NameOf({ false, "q" }, commands);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, commands.size());
+  }
+
+  void SessionsShareAPreparedStatement()
+  {
+    ConnectionContents contents;
+    std::vector<ConnectionCommand> commands;
+    auto first = contents.NameOf({ true, "q" }, commands);
+    CPPUNIT_ASSERT_EQUAL(first, contents.NameOf({ true, "q" }, commands));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, commands.size());
+    CPPUNIT_ASSERT(first != contents.NameOf({ false, "q" }, commands));
+  }
+
+  void PreparesAgainWhatTheDatabaseForgot()
+  {
+    ConnectionContents contents;
+    std::vector<ConnectionCommand> commands;
+    contents.NameOf({ true, "q" }, commands);
+    contents.Forget({ true, "q" });
+    contents.NameOf({ true, "q" }, commands);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, commands.size());
+  }
+
+  void EachSessionFindsItsOwnValuesAndStatements()
+  {
+    CPPUNIT_ASSERT(rc::check([] {
+      ConnectionContents contents;
+      FakeConnection connection;
+      for (int n = 0; n < 30; ++n) {
+        SessionValues values;
+        for (char name = 'a'; name < 'd'; ++name) {
+          if (*rc::gen::arbitrary<bool>()) {
+            values[std::string(1, name)] = std::to_string(*rc::gen::inRange(0, 3));
+          }
+        }
+        PreparedStatement statement{ *rc::gen::arbitrary<bool>(),
+                                     std::to_string(*rc::gen::inRange(0, 3)) };
+        auto distance = contents.Distance(values);
+        auto commands = contents.CatchUp(values);
+        RC_ASSERT((distance == 0) == commands.empty());
+        auto name = contents.NameOf(statement, commands);
+        connection.Run(commands);
+        RC_ASSERT(connection.mValues == values);
+        RC_ASSERT(connection.mPrepared.at(name) == statement);
+      }
+    }));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SharedConnectionTest);
