Out of contact with store and coordinator, a primary's answers are confirmed by the other databases

Ruled out: a longer contact limit, as the coordinator waits it out at each change beside a dead daemon. Change: an answer of the primary is delivered once every other database of the group, asked after it came, still follows the old term; status commands use connections within the pool's limit; a database that is full is asked again after growing pauses (774 refused connections after a restart).

--- a/src/proxy/Backend.h
+++ b/src/proxy/Backend.h
@@ -62,6 +62,11 @@
   virtual void Release(const LeasePtr& aLease, bool aIsBroken) = 0;
   // Whether answers of the group's primary may be believed now.
   virtual bool MayUsePrimary(const std::string& aGroup) const = 0;
+  // Asks the group's other databases, after `aSince`, whether one has taken over. True:
+  // none had, so that answers of the primary that came before hold.
+  virtual void Confirm(const std::string& aGroup,
+                       TimePoint aSince,
+                       std::function<void(bool)> aDone) = 0;
   // What a replica's log must hold for data that is fresh since then; none if that is
   // not known.
   virtual std::optional<LogPosition> HeadSince(const std::string& aGroup,
--- a/src/proxy/CallerRun.cpp
+++ b/src/proxy/CallerRun.cpp
@@ -474,22 +474,48 @@
   Answer(std::move(aReply));
 }
 
+// Out of contact, another database may have been promoted before this one ran the
+// statement. The others tell whether that is so.
 void CallerRun::OnDone(ConnectionReply aReply)
+{
+  if (!mLease->mIsPrimary || mBackend.MayUsePrimary(mLease->mGroup)) {
+    Deliver(std::move(aReply));
+    return;
+  }
+  mIsConfirming = true;
+  mBackend.Confirm(
+    mLease->mGroup,
+    mHost.Now(),
+    [self = shared_from_this(), reply = std::move(aReply)](bool aIsConfirmed) {
+      if (!std::exchange(self->mIsConfirming, false) || !self->mAttempt) {
+        return;
+      }
+      if (aIsConfirmed) {
+        self->Deliver(reply);
+      } else {
+        self->OnUnconfirmed();
+      }
+    });
+}
+
+void CallerRun::OnUnconfirmed()
 {
   auto& attempt = *mAttempt;
   bool isCommit = attempt.mCommand == CommandKind::Commit;
-  bool hasEffect = IsWrite(attempt.mCommand) || (isCommit && mHasWritten);
-  if (mLease->mIsPrimary && attempt.mNeedsPrimary &&
-      !mBackend.MayUsePrimary(mLease->mGroup)) {
-    // Another database may have been promoted before this one ran the statement.
-    bool settles = mTransaction == TransactionState::None || isCommit;
-    if (settles && hasEffect) {
-      attempt.mIsUnsure = true;
-    }
-    GiveBack(true);
-    RetryOrFail(ReplyCode::Aborted, "primary_not_confirmed");
-    return;
+  bool isSingleWrite =
+    mTransaction == TransactionState::None && IsWrite(attempt.mCommand);
+  if (isSingleWrite || (isCommit && mHasWritten)) {
+    attempt.mIsUnsure = true;
   }
+  GiveBack(true);
+  RetryOrFail(ReplyCode::Aborted, "primary_not_confirmed");
+}
+
+void CallerRun::Deliver(ConnectionReply aReply)
+{
+  auto& attempt = *mAttempt;
+  bool isCommit = attempt.mCommand == CommandKind::Commit;
+  bool hasEffect = IsWrite(attempt.mCommand) || (isCommit && mHasWritten);
   if (mTransaction == TransactionState::Open && IsWrite(attempt.mCommand)) {
     mHasWritten = true;
   }
@@ -606,6 +632,10 @@
     mLease->mLink->Close();
     return;
   }
+  if (std::exchange(mIsConfirming, false)) {
+    OnUnconfirmed();
+    return;
+  }
   if (mTicket != 0) {
     mBackend.Drop(std::exchange(mTicket, 0));
   }
--- a/src/proxy/CallerRun.h
+++ b/src/proxy/CallerRun.h
@@ -75,6 +75,8 @@
   std::optional<LogPosition> FreshAfter(const Attempt& aAttempt) const;
   void OnOutcome(ConnectionReply aReply);
   void OnDone(ConnectionReply aReply);
+  void Deliver(ConnectionReply aReply);
+  void OnUnconfirmed();
   void OnNotRun(ConnectionReply aReply);
   void OnLost();
   void OnDeadline();
@@ -126,6 +128,8 @@
   std::uint64_t mTicket = 0;
   bool mIsBusy = false;
   bool mIsSending = false;
+  // An answer is here, and its database may have been replaced before.
+  bool mIsConfirming = false;
   bool mIsGone = false;
   bool mIsOver = false;
 };
--- a/src/proxy/DatabaseFleet.cpp
+++ b/src/proxy/DatabaseFleet.cpp
@@ -24,14 +24,20 @@
 constexpr Duration kStandDownGrace = milliseconds(250);
 constexpr Duration kStandDownPoll = milliseconds(20);
 constexpr Duration kRetryPause = milliseconds(300);
+// Of asking a group's databases whether one has taken over, and after a round that did
+// not show that none has.
+constexpr Duration kRoundTimeout = milliseconds(500);
+constexpr Duration kRoundPause = milliseconds(400);
 
 } // namespace
 
 DatabaseFleet::DatabaseFleet(Loop& aLoop,
                              Databases& aDatabases,
-                             const Settings& aSettings)
+                             const Settings& aSettings,
+                             StatusReader aReadStatus)
   : mLoop(aLoop)
   , mDatabases(aDatabases)
+  , mReadStatus(std::move(aReadStatus))
   , mZone(aSettings.mZone)
   , mRegions(aSettings.mRegions)
 {
@@ -192,7 +198,7 @@
     aDone(std::nullopt);
     return;
   }
-  pool->Ask(aCommand, true, aDeadline, std::move(aDone));
+  pool->Ask(aCommand, aDeadline, std::move(aDone));
 }
 
 TimePoint DatabaseFleet::HeardAt(const std::string& aDatabase) const
@@ -268,9 +274,118 @@
   }
   auto& group = mGroups[aLease.mGroup];
   bool isPrimary = group.mLeadership.Record().mPrimary == aLease.mDatabase;
-  if (isPrimary && aReply.mPosition && MayUsePrimary(aLease.mGroup)) {
+  if (!isPrimary || !aReply.mPosition) {
+    return;
+  }
+  if (MayUsePrimary(aLease.mGroup)) {
     group.mHeads.Observe(*aReply.mPosition, aSentAt);
     group.mHeadAt = std::max(group.mHeadAt, aSentAt);
+  } else if (!group.mProposed) {
+    group.mProposed = ProposedHead{ *aReply.mPosition, aSentAt, Clock::now() };
+  }
+}
+
+void DatabaseFleet::Confirm(const std::string& aGroup,
+                            TimePoint aSince,
+                            std::function<void(bool)> aDone)
+{
+  auto& group = mGroups[aGroup];
+  group.mConfirmations.push_back({ aSince, std::move(aDone) });
+  if (!group.mRound) {
+    StartRound(aGroup);
+  }
+}
+
+bool DatabaseFleet::MayTryPrimary(const std::string& aGroup, TimePoint aNow) const
+{
+  auto it = mGroups.find(aGroup);
+  if (it == mGroups.end()) {
+    return false;
+  }
+  const auto& leadership = it->second.mLeadership;
+  if (leadership.MayUse(mContact, aNow)) {
+    return true;
+  }
+  bool isStable = leadership.Revision() != 0 && !leadership.IsChanging();
+  return isStable && aNow - it->second.mRoundFailedAt > kRoundPause;
+}
+
+void DatabaseFleet::StartRound(const std::string& aName)
+{
+  auto& group = mGroups[aName];
+  auto now = Clock::now();
+  auto round = std::make_shared<Round>();
+  round->mSentAt = now;
+  group.mRound = round;
+  ConnectionCommand status;
+  status.mKind = CommandKind::Status;
+  std::vector<PoolPtr> others;
+  for (const auto* it : mList.OfGroup(aName)) {
+    if (it->mName != group.mLeadership.Record().mPrimary) {
+      others.push_back(FindPool(it->mName));
+    }
+  }
+  round->mHasFailed = others.empty();
+  round->mOpen = others.size() + 1;
+  for (const auto& it : others) {
+    it->Ask(status,
+            now + kRoundTimeout,
+            [this, aName, round](std::optional<ConnectionReply> aReply) {
+              OnRoundAnswer(aName, round, aReply);
+            });
+  }
+  if (--round->mOpen == 0) {
+    OnRoundOver(aName, round);
+  }
+}
+
+void DatabaseFleet::OnRoundAnswer(const std::string& aName,
+                                  const RoundPtr& aRound,
+                                  const std::optional<ConnectionReply>& aReply)
+{
+  bool hasRow = aReply && aReply->mCode == ReplyCode::Done && !aReply->mRows.empty();
+  auto report = hasRow ? mReadStatus(aReply->mRows.front()) : std::nullopt;
+  auto term = mGroups[aName].mLeadership.Record().mTerm;
+  bool isOlder =
+    report && report->mRole == DatabaseRole::Replica && report->mTerm <= term;
+  aRound->mHasFailed |= !isOlder;
+  if (--aRound->mOpen == 0) {
+    OnRoundOver(aName, aRound);
+  }
+}
+
+// What was asked for before the round was sent is settled; the rest needs another one.
+void DatabaseFleet::OnRoundOver(const std::string& aName, const RoundPtr& aRound)
+{
+  auto& group = mGroups[aName];
+  group.mRound.reset();
+  bool isChanging = group.mLeadership.IsChanging();
+  bool isConfirmed = !aRound->mHasFailed && !isChanging;
+  if (!isConfirmed) {
+    group.mRoundFailedAt = Clock::now();
+    group.mProposed.reset();
+    LOG(INFO) << daemon::Line("primary_unconfirmed")
+                   .With("group", aName)
+                   .With("primary", group.mLeadership.Record().mPrimary)
+                   .With("changing", isChanging);
+  } else if (group.mProposed && group.mProposed->mReceivedAt <= aRound->mSentAt) {
+    group.mHeads.Observe(group.mProposed->mPosition, group.mProposed->mSentAt);
+    group.mHeadAt = std::max(group.mHeadAt, group.mProposed->mSentAt);
+    group.mProposed.reset();
+  }
+  std::vector<Confirmation> settled;
+  std::vector<Confirmation> later;
+  for (auto& it : group.mConfirmations) {
+    bool isSettled = !isConfirmed || it.mSince <= aRound->mSentAt;
+    (isSettled ? settled : later).push_back(std::move(it));
+  }
+  group.mConfirmations = std::move(later);
+  bool needsAnother = !group.mConfirmations.empty();
+  for (auto& it : settled) {
+    it.mDone(isConfirmed);
+  }
+  if (needsAnother && !mGroups[aName].mRound) {
+    StartRound(aName);
   }
 }
 
@@ -284,7 +399,7 @@
   }
   auto& leadership = mGroups[need.mGroup].mLeadership;
   auto now = Clock::now();
-  if (!leadership.MayUse(mContact, now)) {
+  if (!MayTryPrimary(need.mGroup, now)) {
     // A change is over soon; without contact nobody knows when it is back.
     bool isWorthWaiting = leadership.IsChanging() || leadership.Revision() == 0;
     if (!isWorthWaiting) {
@@ -308,7 +423,7 @@
   if (after && need.mToken) {
     after = std::max(*after, *need.mToken);
   }
-  bool mayUsePrimary = group.mLeadership.MayUse(mContact, now);
+  bool mayUsePrimary = MayTryPrimary(need.mGroup, now);
   std::vector<ReadCandidate> candidates;
   for (const auto* it : mList.OfGroup(need.mGroup)) {
     auto pool = FindPool(it->mName);
@@ -355,7 +470,8 @@
                      return;
                    }
                    const auto& need = it->second.mNeed;
-                   bool isBlocked = aIsPrimary && !MayUsePrimary(need.mGroup);
+                   bool isBlocked =
+                     aIsPrimary && !MayTryPrimary(need.mGroup, Clock::now());
                    if (aLease && isBlocked) {
                      Release(*aLease, false);
                    }
@@ -427,7 +543,7 @@
   bool isNeeded = aNow - aGroup.mFreshReadAt < kHeadNeed &&
                   aNow - aGroup.mHeadAt > kHeadAge && !aGroup.mIsAsking;
   auto pool = FindPool(aGroup.mLeadership.Record().mPrimary);
-  if (!isNeeded || !pool || !MayUsePrimary(aName)) {
+  if (!isNeeded || !pool || !MayTryPrimary(aName, aNow)) {
     return;
   }
   aGroup.mIsAsking = true;
@@ -438,11 +554,15 @@
   lease.mGroup = aName;
   auto onReply = [this, aName, lease, aNow](std::optional<ConnectionReply> aReply) {
     mGroups[aName].mIsAsking = false;
-    if (aReply) {
-      OnReply(lease, *aReply, aNow);
+    if (!aReply) {
+      return;
+    }
+    OnReply(lease, *aReply, aNow);
+    if (!MayUsePrimary(aName)) {
+      Confirm(aName, Clock::now(), [](bool) {});
     }
   };
-  pool->Ask(status, false, aNow + kStatusTimeout, std::move(onReply));
+  pool->Ask(status, aNow + kStatusTimeout, std::move(onReply));
 }
 
 std::size_t DatabaseFleet::BusyAtPrimary(const std::string& aGroup) const
--- a/src/proxy/DatabaseFleet.h
+++ b/src/proxy/DatabaseFleet.h
@@ -5,6 +5,7 @@
 #include "proxy/Loop.h"
 #include "proxy/Settings.h"
 #include "sesameway/Leadership.h"
+#include "sesameway/Promotion.h"
 #include "sesameway/ReplicaChoice.h"
 #include "sesameway/Routing.h"
 
@@ -20,7 +21,11 @@
 class DatabaseFleet : public Backend
 {
 public:
-  DatabaseFleet(Loop& aLoop, Databases& aDatabases, const Settings& aSettings);
+  using StatusReader = std::function<std::optional<DatabaseReport>(const std::string&)>;
+  DatabaseFleet(Loop& aLoop,
+                Databases& aDatabases,
+                const Settings& aSettings,
+                StatusReader aReadStatus);
 
   void SetCatalogue(CataloguePtr aCatalogue);
   // Zones of all daemons, this one included, to share out connections.
@@ -57,6 +62,9 @@
   void Drop(std::uint64_t aTicket) override;
   void Release(const LeasePtr& aLease, bool aIsBroken) override;
   bool MayUsePrimary(const std::string& aGroup) const override;
+  void Confirm(const std::string& aGroup,
+               TimePoint aSince,
+               std::function<void(bool)> aDone) override;
   std::optional<LogPosition> HeadSince(const std::string& aGroup,
                                        TimePoint aSince) const override;
   void OnSent(const Lease& aLease) override;
@@ -66,6 +74,26 @@
 
 private:
   using PoolPtr = std::shared_ptr<DatabasePool>;
+  // A question to all databases of a group but its primary.
+  struct Round
+  {
+    TimePoint mSentAt{};
+    std::size_t mOpen = 0;
+    bool mHasFailed = false;
+  };
+  using RoundPtr = std::shared_ptr<Round>;
+  struct Confirmation
+  {
+    TimePoint mSince;
+    std::function<void(bool)> mDone;
+  };
+  // A primary's head that counts once a round after it has been confirmed.
+  struct ProposedHead
+  {
+    LogPosition mPosition;
+    TimePoint mSentAt;
+    TimePoint mReceivedAt;
+  };
   struct Group
   {
     Leadership mLeadership;
@@ -73,6 +101,10 @@
     TimePoint mHeadAt{};
     TimePoint mFreshReadAt{};
     bool mIsAsking = false;
+    std::optional<ProposedHead> mProposed;
+    RoundPtr mRound;
+    std::vector<Confirmation> mConfirmations;
+    TimePoint mRoundFailedAt{};
   };
   struct Pending
   {
@@ -82,6 +114,13 @@
     std::string mDatabase;
   };
 
+  // Whether statements may be sent to the primary, if their answers are confirmed.
+  bool MayTryPrimary(const std::string& aGroup, TimePoint aNow) const;
+  void StartRound(const std::string& aName);
+  void OnRoundAnswer(const std::string& aName,
+                     const RoundPtr& aRound,
+                     const std::optional<ConnectionReply>& aReply);
+  void OnRoundOver(const std::string& aName, const RoundPtr& aRound);
   void Place(std::uint64_t aTicket);
   void PlaceAt(std::uint64_t aTicket, const PoolPtr& aPool, bool aIsPrimary);
   void PlaceRead(std::uint64_t aTicket);
@@ -95,6 +134,7 @@
 
   Loop& mLoop;
   Databases& mDatabases;
+  StatusReader mReadStatus;
   std::string mZone;
   std::map<std::string, std::string> mRegions;
   CataloguePtr mCatalogue;
--- a/src/proxy/DatabasePool.cpp
+++ b/src/proxy/DatabasePool.cpp
@@ -9,13 +9,15 @@
 constexpr Duration kOpenTimeout = milliseconds(1500);
 // After a connection could not be opened.
 constexpr Duration kOpenPause = milliseconds(250);
-// The database has as many connections as it takes: one may be free soon.
+// The database has as many connections as it takes: one may be free soon. Doubled each
+// time, up to the pause above.
 constexpr Duration kFullPause = milliseconds(40);
+constexpr int kMaxDoublings = 4;
 constexpr Duration kSuspectTime = milliseconds(600);
 constexpr Duration kTickFloor = milliseconds(5);
 // A statement sent so long ago and answered says that the database is there.
 constexpr Duration kHeardRecently = milliseconds(1000);
-// In place of an organisation, on the connection for status commands.
+// In place of an organisation, on a connection for status commands.
 constexpr const char* kOwnOrganisation = "-";
 
 } // namespace
@@ -75,10 +77,6 @@
   mIsRetired = true;
   Do(mPlan.SetLimit(0, Clock::now()));
   Do(mPlan.RefuseAll(Clock::now()));
-  if (mControl) {
-    mControl->Close();
-    mControl.reset();
-  }
 }
 
 void DatabasePool::CloseBusy()
@@ -146,14 +144,7 @@
     Do(mPlan.OnGone(aGrant.mConnection, Clock::now()));
     return;
   }
-  auto lease = std::make_shared<Lease>();
-  lease->mConnection = aGrant.mConnection;
-  lease->mDatabase = mListed.mName;
-  lease->mGroup = mListed.mGroup;
-  lease->mLink = held->second.mLink;
-  lease->mContents = held->second.mContents;
-  mBusy[aGrant.mConnection] = lease;
-  node.mapped()(lease);
+  node.mapped()(LeaseOf(aGrant.mConnection));
 }
 
 void DatabasePool::Do(const ConnectionPlan::Open& aOpen)
@@ -177,6 +168,7 @@
   auto now = Clock::now();
   if (aLink) {
     OnHeard(aSentAt);
+    mRefusals = 0;
     mHeld[aConnection] = { *aLink, std::make_shared<ConnectionContents>() };
     WatchIdle(aConnection);
     Do(mPlan.OnOpened(aConnection, now));
@@ -194,7 +186,12 @@
   if (!isFull) {
     mSuspectUntil = now + kSuspectTime;
   }
-  Do(mPlan.OnOpenFailed(aConnection, now + (isFull ? kFullPause : kOpenPause), now));
+  auto pause = kOpenPause;
+  if (isFull) {
+    pause =
+      std::min(kFullPause * (1 << std::min(mRefusals++, kMaxDoublings)), kOpenPause);
+  }
+  Do(mPlan.OnOpenFailed(aConnection, now + pause, now));
   if (!isFull) {
     // They may find another database.
     Do(mPlan.RefuseAll(now + kOpenPause));
@@ -249,65 +246,30 @@
 }
 
 void DatabasePool::Ask(const ConnectionCommand& aCommand,
-                       bool aMayOpen,
                        TimePoint aDeadline,
                        std::function<void(std::optional<ConnectionReply>)> aDone)
 {
-  auto idle = mControl ? 0 : mPlan.TakeIdle(Clock::now());
-  auto held = mHeld.find(idle);
-  if (held != mHeld.end()) {
-    auto lease = std::make_shared<Lease>();
-    lease->mConnection = idle;
-    lease->mLink = held->second.mLink;
-    mBusy[idle] = lease;
-    auto onReply = [self = shared_from_this(), lease, done = std::move(aDone)](
-                     std::optional<ConnectionReply> aReply) {
-      bool isBroken = !aReply.has_value();
-      done(std::move(aReply));
-      self->Release(lease, isBroken);
-    };
-    AskOn(lease->mLink, aCommand, aDeadline, std::move(onReply));
-    return;
-  }
-  if (mIsControlBusy || (!mControl && !aMayOpen)) {
-    aDone(std::nullopt);
-    return;
-  }
-  mIsControlBusy = true;
-  auto onReply = [self = shared_from_this(),
-                  done = std::move(aDone)](std::optional<ConnectionReply> aReply) {
-    self->mIsControlBusy = false;
-    if (!aReply) {
-      self->mControl.reset();
-    }
-    done(std::move(aReply));
-  };
-  if (mControl) {
-    AskOn(mControl, aCommand, aDeadline, std::move(onReply));
+  auto idle = mPlan.TakeIdle(Clock::now());
+  if (idle != 0 && mHeld.count(idle) > 0) {
+    AskOn(LeaseOf(idle), aCommand, aDeadline, std::move(aDone));
     return;
   }
-  LinkTarget target{
-    mListed.mAddress, mListed.mGroup, kOwnOrganisation, mListed.mName
-  };
-  mDatabases.Open(
-    target,
-    aDeadline,
-    [self = shared_from_this(), aCommand, aDeadline, onReply](auto aLink) {
-      if (!aLink) {
-        onReply(std::nullopt);
-        return;
-      }
-      self->mControl = *aLink;
-      self->mControl->OnBroken([weak = self->weak_from_this()] {
-        if (auto pool = weak.lock()) {
-          pool->mControl.reset();
-        }
-      });
-      self->AskOn(*aLink, aCommand, aDeadline, onReply);
-    });
+  LeaseNeed need;
+  need.mOrganisation = kOwnOrganisation;
+  need.mDeadline = aDeadline;
+  Acquire(mNextTicket++,
+          need,
+          [this, aCommand, aDeadline, done = std::move(aDone)](
+            const tl::expected<LeasePtr, Refusal>& aLease) {
+            if (aLease) {
+              AskOn(*aLease, aCommand, aDeadline, done);
+            } else {
+              done(std::nullopt);
+            }
+          });
 }
 
-void DatabasePool::AskOn(const DatabaseLinkPtr& aLink,
+void DatabasePool::AskOn(const LeasePtr& aLease,
                          const ConnectionCommand& aCommand,
                          TimePoint aDeadline,
                          std::function<void(std::optional<ConnectionReply>)> aDone)
@@ -315,16 +277,31 @@
   auto sentAt = Clock::now();
   OnSent(sentAt);
   auto timer = std::make_shared<Timer>(mLoop);
-  timer->Set(aDeadline, [aLink] { aLink->Close(); });
-  auto onReplies = [self = shared_from_this(), sentAt, timer, done = std::move(aDone)](
-                     std::vector<ConnectionReply> aReplies) {
-    timer->Cancel();
-    auto& reply = aReplies.back();
-    self->OnReply(reply, sentAt);
-    done(reply.mCode == ReplyCode::Lost ? std::nullopt
-                                        : std::optional(std::move(reply)));
-  };
-  aLink->Send({ aCommand }, std::move(onReplies));
+  timer->Set(aDeadline, [link = aLease->mLink] { link->Close(); });
+  auto onReplies =
+    [self = shared_from_this(), aLease, sentAt, timer, done = std::move(aDone)](
+      std::vector<ConnectionReply> aReplies) {
+      timer->Cancel();
+      auto& reply = aReplies.back();
+      self->OnReply(reply, sentAt);
+      bool isLost = reply.mCode == ReplyCode::Lost;
+      self->Release(aLease, isLost);
+      done(isLost ? std::nullopt : std::optional(std::move(reply)));
+    };
+  aLease->mLink->Send({ aCommand }, std::move(onReplies));
+}
+
+LeasePtr DatabasePool::LeaseOf(std::uint64_t aConnection)
+{
+  const auto& held = mHeld.at(aConnection);
+  auto lease = std::make_shared<Lease>();
+  lease->mConnection = aConnection;
+  lease->mDatabase = mListed.mName;
+  lease->mGroup = mListed.mGroup;
+  lease->mLink = held.mLink;
+  lease->mContents = held.mContents;
+  mBusy[aConnection] = lease;
+  return lease;
 }
 
 } // namespace sesameway::proxy
--- a/src/proxy/DatabasePool.h
+++ b/src/proxy/DatabasePool.h
@@ -33,10 +33,9 @@
   // Breaks all connections that are in use.
   void CloseBusy();
   std::size_t Busy() const { return mBusy.size(); }
-  // A command of this daemon's own, on an idle connection, or on one for such commands
-  // alone if it may be opened. None: no answer by the deadline, or no connection.
+  // A command of this daemon's own, on any idle connection, else on one of its own
+  // within the limit. None: no answer by the deadline, or no connection.
   void Ask(const ConnectionCommand& aCommand,
-           bool aMayOpen,
            TimePoint aDeadline,
            std::function<void(std::optional<ConnectionReply>)> aDone);
 
@@ -58,6 +57,7 @@
   std::size_t Waiting() const { return mPlan.Waiting(); }
 
 private:
+  static constexpr std::uint64_t kFirstOwnTicket = std::uint64_t{ 1 } << 62;
   struct Held
   {
     DatabaseLinkPtr mLink;
@@ -72,10 +72,11 @@
                 const std::string& aOrganisation,
                 TimePoint aSentAt,
                 tl::expected<DatabaseLinkPtr, ReplyCode> aLink);
+  LeasePtr LeaseOf(std::uint64_t aConnection);
   void OnHeard(TimePoint aSentAt);
   void WatchIdle(std::uint64_t aConnection);
   void SetTick();
-  void AskOn(const DatabaseLinkPtr& aLink,
+  void AskOn(const LeasePtr& aLease,
              const ConnectionCommand& aCommand,
              TimePoint aDeadline,
              std::function<void(std::optional<ConnectionReply>)> aDone);
@@ -95,9 +96,9 @@
   std::optional<TimePoint> mUnansweredSince;
   TimePoint mSuspectUntil{};
   std::optional<LogPosition> mPosition;
-  // Of its own, for status commands.
-  DatabaseLinkPtr mControl;
-  bool mIsControlBusy = false;
+  // Of this daemon's own commands; those of statements come from outside.
+  std::uint64_t mNextTicket = kFirstOwnTicket;
+  int mRefusals = 0;
 };
 
 } // namespace sesameway::proxy
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -105,7 +105,7 @@
           { { kOwnKind, kOwnWait },
             { std::string(KindOf(mAdapters.mConfigurationObject)), kOtherWait },
             { mAdapters.mDatabaseKind, kOtherWait } })
-  , mFleet(aLoop, *mAdapters.mDatabases, mSettings)
+  , mFleet(aLoop, *mAdapters.mDatabases, mSettings, mAdapters.mReadStatus)
   , mTick(aLoop)
   , mFellowAddresses(mSettings.mFellowAddresses)
 {
--- a/test/core/ConnectionPlanTest.cpp
+++ b/test/core/ConnectionPlanTest.cpp
@@ -165,8 +165,8 @@
     auto plan = WithOneBusy(connection);
     plan.Add(Wanted(2, "b"), kStart);
     plan.Add(Wanted(3, "a"), kStart);
-    auto grants =
-      Only<ConnectionPlan::Grant>(plan.OnReleased(connection, kStart + milliseconds(5)));
+    auto grants = Only<ConnectionPlan::Grant>(
+      plan.OnReleased(connection, kStart + milliseconds(5)));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, grants.size());
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 3 }, grants[0].mTicket);
   }
@@ -257,10 +257,11 @@
       for (int n = 0; n < 80; ++n) {
         switch (*rc::gen::inRange(0, 5)) {
           case 0:
-            database.Want(ticket++,
-                          std::string(1, static_cast<char>('a' + *rc::gen::inRange(0, 4))),
-                          *rc::gen::inRange(0, 3),
-                          milliseconds(*rc::gen::inRange(1, 900)));
+            database.Want(
+              ticket++,
+              std::string(1, static_cast<char>('a' + *rc::gen::inRange(0, 4))),
+              *rc::gen::inRange(0, 3),
+              milliseconds(*rc::gen::inRange(1, 900)));
             break;
           case 1:
             if (!database.mGranted.empty()) {
--- a/test/core/ObjectTableTest.cpp
+++ b/test/core/ObjectTableTest.cpp
@@ -1,5 +1,5 @@
-#include "sesameway/DatabaseList.h"
 #include "sesameway/ObjectTable.h"
+#include "sesameway/DatabaseList.h"
 #include "sesameway/ReplicaChoice.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -129,9 +129,13 @@
   static std::vector<ReadCandidate> Three()
   {
     std::vector<ReadCandidate> candidates(3);
-    candidates[0] = { "near", false, microseconds(300), {}, LogPosition{ 1, 10 }, false };
+    candidates[0] = {
+      "near", false, microseconds(300), {}, LogPosition{ 1, 10 }, false
+    };
     candidates[1] = { "far", false, milliseconds(20), {}, LogPosition{ 1, 10 }, false };
-    candidates[2] = { "primary", true, milliseconds(20), {}, LogPosition{ 1, 12 }, false };
+    candidates[2] = {
+      "primary", true, milliseconds(20), {}, LogPosition{ 1, 12 }, false
+    };
     return candidates;
   }
 
--- a/test/core/PromotionTest.cpp
+++ b/test/core/PromotionTest.cpp
@@ -63,8 +63,7 @@
   bool IsAnySending(const std::string& aBut) const
   {
     return std::any_of(mDaemons.begin(), mDaemons.end(), [&](const auto& aIt) {
-      return MaySend(aIt.first) &&
-             aIt.second.mLeadership.Record().mPrimary != aBut;
+      return MaySend(aIt.first) && aIt.second.mLeadership.Record().mPrimary != aBut;
     });
   }
 
--- a/test/platform/TextWireTest.cpp
+++ b/test/platform/TextWireTest.cpp
@@ -112,7 +112,8 @@
     auto hello = std::get<CallerHello>(ReadCallerLine("CONNECT lepu270 u3f1"));
     CPPUNIT_ASSERT_EQUAL(std::string("lepu270"), hello.mRoute);
     CPPUNIT_ASSERT_EQUAL(std::string("u3f1"), hello.mKey);
-    CPPUNIT_ASSERT(std::get<CallerHello>(ReadCallerLine("CONNECT lepu270")).mKey.empty());
+    CPPUNIT_ASSERT(
+      std::get<CallerHello>(ReadCallerLine("CONNECT lepu270")).mKey.empty());
     CPPUNIT_ASSERT(std::holds_alternative<CallerQuit>(ReadCallerLine("QUIT")));
   }
 
@@ -167,8 +168,9 @@
     reply.mRows = { "qhzk" };
     reply.mDigest = "7.1f3";
     reply.mPosition = LogPosition{ 3, 1209 };
-    CPPUNIT_ASSERT_EQUAL(std::string("ROW qhzk\r\nCOMPLETE 7.1f3\r\nREADY I 3.1209\r\n"),
-                         WriteAnswer(reply));
+    CPPUNIT_ASSERT_EQUAL(
+      std::string("ROW qhzk\r\nCOMPLETE 7.1f3\r\nREADY I 3.1209\r\n"),
+      WriteAnswer(reply));
     ConnectionReply refused;
     refused.mCode = ReplyCode::Busy;
     refused.mDetail = "over_rate";
@@ -192,9 +194,8 @@
     prepare.mPreparesWrite = true;
     CPPUNIT_ASSERT_EQUAL(std::string("QUERY - PREPARE p1 WRITE q2c\r\n"),
                          WriteCommand(prepare));
-    CPPUNIT_ASSERT_EQUAL(
-      std::string("CONNECT huvo11a tenant i-7f\r\n"),
-      WriteHello({ "10.0.0.1:1", "huvo11a", "tenant", "i-7f" }));
+    CPPUNIT_ASSERT_EQUAL(std::string("CONNECT huvo11a tenant i-7f\r\n"),
+                         WriteHello({ "10.0.0.1:1", "huvo11a", "tenant", "i-7f" }));
   }
 
   void ReadsRepliesOfADatabase()
