Fewer connections, token asks and store calls; other replicas before the primary

Change: waiters leave others' connections alone for 40 ms while one of their own is in use; status commands take any connection; a fellow without tokens is asked after growing pauses; the positions of replicas age.

--- a/include/sesameway/ConnectionPlan.h
+++ b/include/sesameway/ConnectionPlan.h
@@ -21,6 +21,7 @@
   struct Want
   {
     std::uint64_t mTicket = 0;
+    // Empty: any connection will do.
     std::string mOrganisation;
     // The lowest goes first.
     std::uint32_t mPriority = 0;
@@ -104,14 +105,17 @@
 
   void Settle(TimePoint aNow, Actions& aActions);
   void GiveToOwn(TimePoint aNow, Actions& aActions);
-  bool OpenFor(const Waiter& aWaiter, TimePoint aNow, Actions& aActions);
+  void OpenFor(const Waiter& aWaiter,
+               std::size_t aAhead,
+               TimePoint aNow,
+               Actions& aActions);
   void GiveTo(Waiters::iterator aWaiter,
               std::uint64_t aConnection,
               TimePoint aNow,
               Actions& aActions);
   std::uint64_t FindIdle(const std::string& aOrganisation) const;
   std::uint64_t FindIdleLongest() const;
-  std::size_t Opening(const std::string& aOrganisation) const;
+  std::size_t CountOf(const std::string& aOrganisation, State aState) const;
   bool IsStarving(TimePoint aNow) const;
 
   std::size_t mLimit;
--- a/include/sesameway/Limits.h
+++ b/include/sesameway/Limits.h
@@ -153,6 +153,8 @@
     std::string mName;
     TimePoint mAskAgainAt{};
     bool mAsked = false;
+    // In a row.
+    int mRefusals = 0;
   };
   void Settle(LimiterStep& aStep, NanoTokens aBorrowed, TimePoint aNow);
   void SendAsks(LimiterStep& aStep, TimePoint aNow);
--- a/src/core/ConnectionPlan.cpp
+++ b/src/core/ConnectionPlan.cpp
@@ -9,6 +9,9 @@
 // After this long a waiter may take an idle connection of another organisation, though
 // others of that organisation wait for it: turns cost a new connection each.
 constexpr Duration kPatience = milliseconds(120);
+// How long a waiter leaves others' idle connections alone while its organisation has
+// one that is in use: about as long as a statement takes.
+constexpr Duration kOwnPatience = milliseconds(40);
 // A refused caller is told to come back when about this much has been served.
 constexpr Duration kRetryPause = milliseconds(250);
 // Weight of the newest hold in the moving average: 1/8.
@@ -140,10 +143,9 @@
   auto next = TimePoint::max();
   for (const auto& it : mWaiters) {
     next = std::min(next, it.mWant.mDeadline);
-    auto patientUntil = it.mSince + kPatience;
-    // Waiting longer changes something only once: when the patience ends.
+    // The end of a waiter's patience matters while there is a connection to take.
     if (mConnections.size() >= mLimit && FindIdleLongest() != 0) {
-      next = std::min(next, patientUntil);
+      next = std::min(next, it.mSince + kOwnPatience);
     }
   }
   if (!mWaiters.empty() && mOpenAgainAt != TimePoint{}) {
@@ -182,14 +184,19 @@
   if (!IsStarving(aNow)) {
     GiveToOwn(aNow, aActions);
   }
-  std::map<std::string, std::size_t> coming;
+  // Waiters before this one, by organisation.
+  std::map<std::string, std::size_t> ahead;
   for (auto it = mWaiters.begin(); it != mWaiters.end();) {
     auto next = std::next(it);
-    auto own = FindIdle(it->mWant.mOrganisation);
+    const auto& organisation = it->mWant.mOrganisation;
+    auto own = FindIdle(organisation);
     if (own != 0) {
       GiveTo(it, own, aNow, aActions);
-    } else if (coming[it->mWant.mOrganisation]++ >= Opening(it->mWant.mOrganisation)) {
-      OpenFor(*it, aNow, aActions);
+    } else {
+      auto position = ahead[organisation]++;
+      if (position >= CountOf(organisation, State::Opening)) {
+        OpenFor(*it, position, aNow, aActions);
+      }
     }
     it = next;
   }
@@ -207,23 +214,30 @@
   }
 }
 
-bool ConnectionPlan::OpenFor(const Waiter& aWaiter, TimePoint aNow, Actions& aActions)
+void ConnectionPlan::OpenFor(const Waiter& aWaiter,
+                             std::size_t aAhead,
+                             TimePoint aNow,
+                             Actions& aActions)
 {
-  if (mOpenAgainAt > aNow) {
-    return false;
+  const auto& organisation = aWaiter.mWant.mOrganisation;
+  bool isContent = organisation.empty() && !mConnections.empty();
+  if (mOpenAgainAt > aNow || isContent) {
+    return;
   }
   if (mConnections.size() >= mLimit) {
+    // One of its own will be free about as soon as a new one could be used.
+    bool comesSoon = aAhead < CountOf(organisation, State::Busy) &&
+                     aNow - aWaiter.mSince < kOwnPatience;
     auto other = FindIdleLongest();
-    if (other == 0) {
-      return false;
+    if (other == 0 || comesSoon) {
+      return;
     }
     aActions.push_back(Close{ other });
     mConnections.erase(other);
   }
   auto id = mNextConnection++;
-  mConnections[id] = { aWaiter.mWant.mOrganisation, State::Opening, aNow };
-  aActions.push_back(Open{ id, aWaiter.mWant.mOrganisation });
-  return true;
+  mConnections[id] = { organisation, State::Opening, aNow };
+  aActions.push_back(Open{ id, organisation });
 }
 
 void ConnectionPlan::GiveTo(Waiters::iterator aWaiter,
@@ -240,6 +254,9 @@
 
 std::uint64_t ConnectionPlan::FindIdle(const std::string& aOrganisation) const
 {
+  if (aOrganisation.empty()) {
+    return FindIdleLongest();
+  }
   for (const auto& it : mConnections) {
     if (it.second.mState == State::Idle && it.second.mOrganisation == aOrganisation) {
       return it.first;
@@ -261,11 +278,11 @@
   return found;
 }
 
-std::size_t ConnectionPlan::Opening(const std::string& aOrganisation) const
+std::size_t ConnectionPlan::CountOf(const std::string& aOrganisation,
+                                    State aState) const
 {
   return std::count_if(mConnections.begin(), mConnections.end(), [&](const auto& aIt) {
-    return aIt.second.mState == State::Opening &&
-           aIt.second.mOrganisation == aOrganisation;
+    return aIt.second.mState == aState && aIt.second.mOrganisation == aOrganisation;
   });
 }
 
--- a/src/core/Limits.cpp
+++ b/src/core/Limits.cpp
@@ -14,8 +14,11 @@
 
 // How long a statement waits for tokens of fellows before it is refused.
 constexpr Duration kPatience = milliseconds(60);
-// A fellow that had nothing to spare is left alone this long.
+// A fellow that had nothing to spare is left alone this long; twice as long each time
+// that it has nothing again, since an organisation over its rate finds nothing
+// anywhere.
 constexpr Duration kAskPause = milliseconds(10);
+constexpr int kMaxAskDoublings = 5;
 constexpr Duration kAskPauseAfterSilence = milliseconds(100);
 // A daemon that admitted something within this time keeps half of its bucket.
 constexpr Duration kBusyTime = milliseconds(200);
@@ -203,7 +206,10 @@
   if (auto* fellow = Find(ask.mFellow)) {
     fellow->mAsked = false;
     bool isPressed = aTokens > 0 && !mWaiters.empty();
-    fellow->mAskAgainAt = isPressed ? aNow : aNow + kAskPause;
+    fellow->mRefusals =
+      aTokens > 0 ? 0 : std::min(fellow->mRefusals + 1, kMaxAskDoublings);
+    auto pause = kAskPause * (1 << fellow->mRefusals);
+    fellow->mAskAgainAt = isPressed ? aNow : aNow + pause;
     if (!isInTime) {
       fellow->mAskAgainAt = aNow + kAskPauseAfterSilence;
     }
--- a/src/proxy/Backend.h
+++ b/src/proxy/Backend.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace sesameway::proxy {
@@ -36,8 +37,8 @@
   std::optional<LogPosition> mToken;
   // For choosing among idle connections.
   const SessionValues* mValues = nullptr;
-  // One that has just failed to serve it.
-  std::string mAvoid;
+  // Those that have just failed to serve it.
+  std::set<std::string> mAvoid;
 };
 
 // Nothing has been sent.
--- a/src/proxy/CallerRun.cpp
+++ b/src/proxy/CallerRun.cpp
@@ -15,6 +15,8 @@
 constexpr Duration kAdmissionWait = milliseconds(150);
 constexpr Duration kRetryPause = milliseconds(15);
 constexpr int kMaxSends = 6;
+// More sends than a group has databases come after a pause.
+constexpr int kQuickRetries = 3;
 
 ConnectionReply Reply(ReplyCode aCode, std::string aDetail, TransactionState aState)
 {
@@ -544,20 +546,19 @@
     }
   }
   if (aReply.mCode == ReplyCode::Behind) {
-    // No replica at hand is fresh enough; the primary is.
-    attempt.mNeedsPrimary = true;
+    // Others may be fresh enough; the primary is.
     bool isOwnTokenGone = mLease->mIsPrimary;
     if (isOwnTokenGone) {
       mToken.reset();
     }
   }
-  attempt.mAvoid = mLease->mDatabase;
+  auto database = mLease->mDatabase;
+  attempt.mAvoid.insert(database);
   bool isClean = mTransaction == TransactionState::None &&
                  aReply.mTransaction == TransactionState::None &&
                  aReply.mCode != ReplyCode::WrongDatabase;
   GiveBack(!isClean);
-  auto reason =
-    std::string(kReplyCodeNames.Name(aReply.mCode)) + " at " + attempt.mAvoid;
+  auto reason = std::string(kReplyCodeNames.Name(aReply.mCode)) + " at " + database;
   RetryOrFail(ReplyCode::Aborted, reason);
 }
 
@@ -571,7 +572,7 @@
     attempt.mIsUnsure = true;
   }
   if (mLease) {
-    attempt.mAvoid = mLease->mDatabase;
+    attempt.mAvoid.insert(mLease->mDatabase);
     GiveBack(true);
   }
   if (attempt.mHasTimedOut) {
@@ -581,7 +582,7 @@
     Answer(Reply(ReplyCode::TimedOut, "route_timeout", mTransaction));
     return;
   }
-  RetryOrFail(ReplyCode::Aborted, "connection_lost at " + attempt.mAvoid);
+  RetryOrFail(ReplyCode::Aborted, "connection_lost at " + attempt.mDatabase);
 }
 
 // Whether the statement can be sent again so that the caller does not notice: nothing
@@ -612,8 +613,14 @@
   RetryLater();
 }
 
+// Another database can be asked at once; the same one has to be given time.
 void CallerRun::RetryLater()
 {
+  bool isElsewhere = !mAttempt->mNeedsPrimary && mAttempt->mSends < kQuickRetries;
+  if (isElsewhere) {
+    Acquire();
+    return;
+  }
   mPause->Set(mHost.Now() + kRetryPause, [weak = weak_from_this()] {
     auto self = weak.lock();
     if (self && self->mAttempt && !self->mIsGone && !self->mLease) {
--- a/src/proxy/CallerRun.h
+++ b/src/proxy/CallerRun.h
@@ -46,7 +46,8 @@
     bool mIsUnsure = false;
     bool mHasTimedOut = false;
     bool mNeedsPrimary = false;
-    std::string mAvoid;
+    // Databases that did not serve it.
+    std::set<std::string> mAvoid;
     // For the log: why the last try failed, where it was sent last, how fresh that
     // database had to be.
     std::string mCause;
--- a/src/proxy/DatabaseFleet.cpp
+++ b/src/proxy/DatabaseFleet.cpp
@@ -437,8 +437,8 @@
     candidate.mIsPrimary = isPrimary;
     candidate.mDistance = DistanceTo(it->mZone);
     candidate.mExpectedWait = pool->ExpectedWait(need.mOrganisation);
-    candidate.mPosition = pool->Position();
-    candidate.mIsToAvoid = it->mName == need.mAvoid;
+    candidate.mPosition = pool->Position(now);
+    candidate.mIsToAvoid = need.mAvoid.count(it->mName) > 0;
     candidates.push_back(std::move(candidate));
   }
   auto choice = ChooseForFreshRead(candidates, after);
@@ -477,7 +477,7 @@
                    }
                    if (!aLease || isBlocked) {
                      // Another database may do, or the same one a little later.
-                     it->second.mNeed.mAvoid = it->second.mDatabase;
+                     it->second.mNeed.mAvoid.insert(it->second.mDatabase);
                      it->second.mDatabase.clear();
                      return;
                    }
--- a/src/proxy/DatabasePool.cpp
+++ b/src/proxy/DatabasePool.cpp
@@ -14,11 +14,13 @@
 constexpr Duration kFullPause = milliseconds(40);
 constexpr int kMaxDoublings = 4;
 constexpr Duration kSuspectTime = milliseconds(600);
+// A replica that was behind is tried again after this long.
+constexpr Duration kPositionAge = milliseconds(500);
 constexpr Duration kTickFloor = milliseconds(5);
 // A statement sent so long ago and answered says that the database is there.
 constexpr Duration kHeardRecently = milliseconds(1000);
 // In place of an organisation, on a connection for status commands.
-constexpr const char* kOwnOrganisation = "-";
+const std::string kOwnOrganisation = "-";
 
 } // namespace
 
@@ -97,9 +99,15 @@
   OnHeard(aSentAt);
   if (aReply.mPosition) {
     mPosition = aReply.mPosition;
+    mPositionAt = Clock::now();
   }
 }
 
+std::optional<LogPosition> DatabasePool::Position(TimePoint aNow) const
+{
+  return aNow - mPositionAt < kPositionAge ? mPosition : std::nullopt;
+}
+
 void DatabasePool::OnHeard(TimePoint aSentAt)
 {
   mHeardAt = std::max(mHeardAt, aSentAt);
@@ -151,9 +159,9 @@
 {
   auto now = Clock::now();
   OnSent(now);
-  LinkTarget target{
-    mListed.mAddress, mListed.mGroup, aOpen.mOrganisation, mListed.mName
-  };
+  const auto& organisation =
+    aOpen.mOrganisation.empty() ? kOwnOrganisation : aOpen.mOrganisation;
+  LinkTarget target{ mListed.mAddress, mListed.mGroup, organisation, mListed.mName };
   mDatabases.Open(
     target, now + kOpenTimeout, [self = shared_from_this(), aOpen, now](auto aLink) {
       self->OnOpened(aOpen.mConnection, aOpen.mOrganisation, now, std::move(aLink));
@@ -255,7 +263,6 @@
     return;
   }
   LeaseNeed need;
-  need.mOrganisation = kOwnOrganisation;
   need.mDeadline = aDeadline;
   Acquire(mNextTicket++,
           need,
--- a/src/proxy/DatabasePool.h
+++ b/src/proxy/DatabasePool.h
@@ -49,7 +49,8 @@
   void OnSent(TimePoint aNow);
   // Connecting failed a moment ago.
   bool IsSuspect(TimePoint aNow) const { return aNow < mSuspectUntil; }
-  const std::optional<LogPosition>& Position() const { return mPosition; }
+  // The end of its log when it answered last; none if that was long ago.
+  std::optional<LogPosition> Position(TimePoint aNow) const;
   Duration ExpectedWait(const std::string& aOrganisation) const
   {
     return mPlan.ExpectedWait(aOrganisation);
@@ -96,6 +97,7 @@
   std::optional<TimePoint> mUnansweredSince;
   TimePoint mSuspectUntil{};
   std::optional<LogPosition> mPosition;
+  TimePoint mPositionAt{};
   // Of this daemon's own commands; those of statements come from outside.
   std::uint64_t mNextTicket = kFirstOwnTicket;
   int mRefusals = 0;
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -12,20 +12,20 @@
 
 constexpr Duration kTickInterval = milliseconds(60);
 // Of a call for changes. The own kind's shows contact with the store as well.
-constexpr Duration kOwnWait = milliseconds(1000);
+constexpr Duration kOwnWait = milliseconds(1500);
 constexpr Duration kOtherWait = seconds(15);
 constexpr Duration kRegisterTimeout = milliseconds(1000);
 constexpr Duration kRegisterPause = milliseconds(700);
 // Fellows are asked when the store was last heard from this long ago.
-constexpr Duration kContactAge = milliseconds(1400);
+constexpr Duration kContactAge = milliseconds(1900);
 constexpr Duration kPullPause = milliseconds(300);
 constexpr Duration kPullTimeout = milliseconds(600);
 constexpr std::size_t kPullFellows = 2;
 // After this long the balancer sends no more connections, so that idle sessions can be
 // closed without coming back here.
 constexpr Duration kOutOfRotation = milliseconds(2200);
-// A transaction has half of the time that is left.
 constexpr int kWorkerThreads = 2;
+constexpr Duration kTotalsInterval = seconds(10);
 
 class TimerAlarm : public Alarm
 {
@@ -159,9 +159,26 @@
   if (mIsDraining) {
     DrainSessions();
   }
+  LogTotals(now);
   mTick.Set(now + kTickInterval, [this] { Tick(); });
 }
 
+// For those who have the log alone.
+void Proxy::LogTotals(TimePoint aNow)
+{
+  if (aNow < mTotalsAt) {
+    return;
+  }
+  mTotalsAt = aNow + kTotalsInterval;
+  daemon::Line line("totals");
+  for (const auto& it : mMetrics.Read()) {
+    if (!it.mName.starts_with("latency_us.")) {
+      line.With(it.mName, it.mValue);
+    }
+  }
+  LOG(INFO) << line;
+}
+
 void Proxy::OnChange(const StoredObject& aObject)
 {
   auto kind = KindOf(aObject.mName);
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -106,6 +106,7 @@
   void PullFromFellows(TimePoint aNow);
   void OnDelta(const peer::CatalogueDelta& aDelta, TimePoint aAskedAt);
   void UpdateHints(TimePoint aNow);
+  void LogTotals(TimePoint aNow);
   void DrainSessions();
   std::vector<peer::Member> Members() const;
 
@@ -132,6 +133,7 @@
   bool mIsRegistering = false;
   TimePoint mRegisterAgainAt{};
   TimePoint mPullAgainAt{};
+  TimePoint mTotalsAt{};
   std::size_t mPullTurn = 0;
   std::vector<std::string> mFellowAddresses;
 
