Late callbacks and timers do not reach a later statement

A timer that is due when it is cancelled still ran, since its handler was queued; a confirmation and a verdict on rate that came after their statement's deadline were taken for the next statement's. Ruled out: answers crossed on a database connection, as a batch is counted and closed as a whole. Change: timers and attempts are numbered.

--- a/src/proxy/CallerRun.cpp
+++ b/src/proxy/CallerRun.cpp
@@ -109,6 +109,7 @@
   mIsBusy = true;
   mAlarm->Cancel();
   mAttempt.emplace();
+  mAttempt->mNumber = ++mAttempts;
   mAttempt->mReceivedAt = mHost.Now();
   mAttempt->mRequest = std::move(aRequest);
   auto kind = mAttempt->mRequest.mKind;
@@ -167,6 +168,11 @@
   Answer(Reply(ReplyCode::Done, {}, mTransaction));
 }
 
+bool CallerRun::IsAt(std::uint64_t aNumber) const
+{
+  return mAttempt && mAttempt->mNumber == aNumber && !mIsGone && !mIsOver;
+}
+
 // The database hears of the transaction with its first statement.
 void CallerRun::OnBegin()
 {
@@ -263,20 +269,20 @@
     return;
   }
   auto deadline = mHost.Now() + kAdmissionWait;
-  mHost.Admit(*organisation,
-              deadline,
-              [self = shared_from_this(), then = std::move(aThen)](bool aIsAdmitted,
-                                                                   TimePoint aRetryAt) {
-                if (self->mIsGone || self->mIsOver || !self->mAttempt) {
-                  return;
-                }
-                if (aIsAdmitted) {
-                  then();
-                  return;
-                }
-                self->Fail(ReplyCode::Busy,
-                           RetryText("over_rate", aRetryAt, self->mHost.Now()));
-              });
+  mHost.Admit(
+    *organisation,
+    deadline,
+    [self = shared_from_this(), number = mAttempt->mNumber, then = std::move(aThen)](
+      bool aIsAdmitted, TimePoint aRetryAt) {
+      if (!self->IsAt(number)) {
+        return;
+      }
+      if (aIsAdmitted) {
+        then();
+        return;
+      }
+      self->Fail(ReplyCode::Busy, RetryText("over_rate", aRetryAt, self->mHost.Now()));
+    });
 }
 
 void CallerRun::Acquire()
@@ -488,8 +494,9 @@
   mBackend.Confirm(
     mLease->mGroup,
     mHost.Now(),
-    [self = shared_from_this(), reply = std::move(aReply)](bool aIsConfirmed) {
-      if (!std::exchange(self->mIsConfirming, false) || !self->mAttempt) {
+    [self = shared_from_this(), number = mAttempt->mNumber, reply = std::move(aReply)](
+      bool aIsConfirmed) {
+      if (!self->IsAt(number) || !std::exchange(self->mIsConfirming, false)) {
         return;
       }
       if (aIsConfirmed) {
--- a/src/proxy/CallerRun.h
+++ b/src/proxy/CallerRun.h
@@ -35,6 +35,8 @@
   // What is being tried for the request at hand.
   struct Attempt
   {
+    // Answers to an earlier one come late now and then.
+    std::uint64_t mNumber = 0;
     CallerRequest mRequest;
     CommandKind mCommand = CommandKind::Read;
     std::optional<PreparedStatement> mPrepared;
@@ -90,7 +92,8 @@
   void GiveBack(bool aIsBroken);
   void RollBack();
   void RestInTransaction();
-  bool IsTransactionBegun() const { return mLease && mHasBegun; }
+  // Whether this attempt is still the one at hand.
+  bool IsAt(std::uint64_t aNumber) const;
   void Log(const Attempt& aAttempt,
            const ConnectionReply& aReply,
            Duration aTook) const;
@@ -125,6 +128,7 @@
   const char* mEndedBy = nullptr;
 
   std::optional<Attempt> mAttempt;
+  std::uint64_t mAttempts = 0;
   LeasePtr mLease;
   std::uint64_t mTicket = 0;
   bool mIsBusy = false;
--- a/src/proxy/Loop.h
+++ b/src/proxy/Loop.h
@@ -6,6 +6,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -35,22 +37,35 @@
     : mTimer(aLoop.Io())
   {
   }
+  Timer(const Timer&) = delete;
+  Timer& operator=(const Timer&) = delete;
+  ~Timer() { ++*mCalls; }
 
   void Set(TimePoint aWhen, std::function<void()> aTask)
   {
     // The loop's own clock stands still while the VM is suspended, so that a timer may
     // come late; what it starts looks at Clock again.
     mTimer.expires_after(std::max(aWhen - Clock::now(), Duration::zero()));
-    mTimer.async_wait([task = std::move(aTask)](boost::system::error_code aError) {
-      if (!aError) {
+    // A task that is due already can't be taken back from the loop, so it is told apart
+    // by its number.
+    auto call = ++*mCalls;
+    mTimer.async_wait([calls = mCalls, call, task = std::move(aTask)](
+                        boost::system::error_code aError) {
+      if (!aError && *calls == call) {
         task();
       }
     });
   }
-  void Cancel() { mTimer.cancel(); }
+  void Cancel()
+  {
+    ++*mCalls;
+    mTimer.cancel();
+  }
 
 private:
   boost::asio::steady_timer mTimer;
+  // Counts what was set and cancelled.
+  std::shared_ptr<std::uint64_t> mCalls = std::make_shared<std::uint64_t>(0);
 };
 
 } // namespace sesameway::proxy
--- /dev/null
+++ b/test/proxy/CallerRunTest.cpp
@@ -0,0 +1,352 @@
+#include "FakeBackend.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace sesameway;
+using namespace sesameway::proxy;
+using namespace sesameway::test;
+
+class CallerRunTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(CallerRunTest);
+  CPPUNIT_TEST(RefusesUnknownKeysAndRoutes);
+  CPPUNIT_TEST(SendsAReadUnchangedAndDeliversItsDigest);
+  CPPUNIT_TEST(PreparedStatementsGetTheConnectionsName);
+  CPPUNIT_TEST(ATransactionBeginsBeforeItsFirstStatementIsSent);
+  CPPUNIT_TEST(ARefusedBeginningRunsNothing);
+  CPPUNIT_TEST(ARollbackIsAnsweredAtOnceAndFreesTheConnection);
+  CPPUNIT_TEST(AReadThatWasLostIsSentAgainElsewhere);
+  CPPUNIT_TEST(AWriteThatWasLostIsUnknown);
+  CPPUNIT_TEST(AWriteThatWasRefusedIsSentAgain);
+  CPPUNIT_TEST(ALostConnectionAbortsTheTransaction);
+  CPPUNIT_TEST(ALostCommitOfAWriteIsUnknown);
+  CPPUNIT_TEST(AReadThatIsBehindAsksAnotherDatabase);
+  CPPUNIT_TEST(AStatementEndsAtTheRoutesTimeout);
+  CPPUNIT_TEST(WhatCannotBeServedIsRefusedAtOnceWithATimeToComeBack);
+  CPPUNIT_TEST(OutOfContactAnAnswerIsConfirmedFirst);
+  CPPUNIT_TEST(AnUnconfirmedWriteIsUnknown);
+  CPPUNIT_TEST(ALateConfirmationBelongsToNoLaterStatement);
+  CPPUNIT_TEST(ALateVerdictBelongsToNoLaterStatement);
+  CPPUNIT_TEST(AnIdleTransactionIsRolledBack);
+  CPPUNIT_TEST(ACallerThatLeavesKeepsNoConnection);
+  CPPUNIT_TEST(ReadsAfterAnOwnCommitMustSeeIt);
+  CPPUNIT_TEST(DrainsOnceNothingIsUnderWay);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override
+  {
+    mHost = std::make_unique<FakeHost>();
+    mBackend = std::make_unique<FakeBackend>();
+    Connect("strict");
+  }
+  void tearDown() override { mSession.reset(); }
+
+private:
+  void Connect(const std::string& aRoute, const std::string& aKey = "key")
+  {
+    mStream = std::make_shared<FakeStream>();
+    mSession = std::make_shared<CallerRun>(mStream, *mHost, *mBackend);
+    mSession->OnConnect(aRoute, aKey);
+  }
+
+  void Ask(RequestKind aKind, const std::string& aText = {})
+  {
+    CallerRequest request;
+    request.mKind = aKind;
+    request.mId = "r" + std::to_string(++mRequests);
+    request.mText = aText;
+    request.mName = "s1";
+    request.mArgument = aText;
+    mSession->OnRequest(std::move(request));
+  }
+
+  static ConnectionReply Done(const std::string& aDigest,
+                              TransactionState aState = TransactionState::None)
+  {
+    ConnectionReply reply;
+    reply.mCode = ReplyCode::Done;
+    reply.mDigest = aDigest;
+    reply.mTransaction = aState;
+    reply.mPosition = LogPosition{ 3, 17 };
+    return reply;
+  }
+
+  static ConnectionReply Refused(ReplyCode aCode)
+  {
+    ConnectionReply reply;
+    reply.mCode = aCode;
+    return reply;
+  }
+
+  const ConnectionReply& Last() const { return mStream->mAnswers.back(); }
+
+  void AssertCode(ReplyCode aCode) const
+  {
+    CPPUNIT_ASSERT_EQUAL(std::string(kReplyCodeNames.Name(aCode)),
+                         std::string(kReplyCodeNames.Name(Last().mCode)));
+  }
+
+  // An open transaction at the primary whose first read has been answered.
+  std::shared_ptr<FakeLink> BeginAndRead()
+  {
+    Ask(RequestKind::Begin);
+    Ask(RequestKind::Read, "READ a");
+    auto link = mBackend->Grant("i-1", true);
+    link->Answer(Done("", TransactionState::Open));
+    link->Answer(Done("d1", TransactionState::Open));
+    return link;
+  }
+
+  void RefusesUnknownKeysAndRoutes()
+  {
+    Connect("strict", "other");
+    CPPUNIT_ASSERT(mStream->mRefusal == ReplyCode::Denied);
+    Connect("nowhere");
+    CPPUNIT_ASSERT(mStream->mRefusal == ReplyCode::NoRoute);
+  }
+
+  void SendsAReadUnchangedAndDeliversItsDigest()
+  {
+    Ask(RequestKind::Read, "READ 1a4");
+    auto link = mBackend->Grant("i-1", true);
+    CPPUNIT_ASSERT_EQUAL(std::string("READ 1a4"), link->mSent.back().mText);
+    CPPUNIT_ASSERT_EQUAL(std::string("r1"), link->mSent.back().mId);
+    link->Answer(Done("d1"));
+    AssertCode(ReplyCode::Done);
+    CPPUNIT_ASSERT_EQUAL(std::string("d1"), Last().mDigest);
+    CPPUNIT_ASSERT_EQUAL(1, mBackend->mReleased);
+  }
+
+  void PreparedStatementsGetTheConnectionsName()
+  {
+    Ask(RequestKind::Prepare, "q2c");
+    Ask(RequestKind::Execute, "1a4");
+    auto link = mBackend->Grant("i-1", true);
+    CPPUNIT_ASSERT(link->mSent.at(0).mKind == CommandKind::Prepare);
+    CPPUNIT_ASSERT_EQUAL(link->mSent[0].mName, link->mSent.at(1).mName);
+    CPPUNIT_ASSERT_EQUAL(std::string("1a4"), link->mSent[1].mText);
+  }
+
+  void ATransactionBeginsBeforeItsFirstStatementIsSent()
+  {
+    Ask(RequestKind::Begin);
+    CPPUNIT_ASSERT(mBackend->mWanted.empty());
+    CPPUNIT_ASSERT(Last().mTransaction == TransactionState::Open);
+    Ask(RequestKind::Read, "READ a");
+    auto link = mBackend->Grant("i-1", true);
+    CPPUNIT_ASSERT(link->mSent.back().mKind == CommandKind::Begin);
+    link->Answer(Done("", TransactionState::Open));
+    CPPUNIT_ASSERT(link->mSent.back().mKind == CommandKind::Read);
+  }
+
+  void ARefusedBeginningRunsNothing()
+  {
+    Ask(RequestKind::Begin);
+    Ask(RequestKind::Read, "READ a");
+    auto link = mBackend->Grant("i-1", true);
+    link->Answer(Refused(ReplyCode::ReadOnly));
+    CPPUNIT_ASSERT_EQUAL(1, link->mBatches);
+    mHost->Pass(milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mBackend->mWanted.size());
+  }
+
+  void ARollbackIsAnsweredAtOnceAndFreesTheConnection()
+  {
+    auto link = BeginAndRead();
+    Ask(RequestKind::Rollback);
+    AssertCode(ReplyCode::Done);
+    CPPUNIT_ASSERT(Last().mTransaction == TransactionState::None);
+    CPPUNIT_ASSERT(link->mSent.back().mKind == CommandKind::Rollback);
+    CPPUNIT_ASSERT_EQUAL(0, mBackend->mReleased);
+    link->Answer(Done(""));
+    CPPUNIT_ASSERT_EQUAL(1, mBackend->mReleased);
+  }
+
+  void AReadThatWasLostIsSentAgainElsewhere()
+  {
+    Ask(RequestKind::Read, "READ a");
+    mBackend->Grant("i-1", true)->Lose();
+    mHost->Pass(milliseconds(20));
+    CPPUNIT_ASSERT(mStream->mAnswers.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                         mBackend->mWanted.begin()->second.mNeed.mAvoid.count("i-1"));
+    mBackend->Grant("i-2", true)->Answer(Done("d2"));
+    AssertCode(ReplyCode::Done);
+  }
+
+  void AWriteThatWasLostIsUnknown()
+  {
+    Ask(RequestKind::Write, "WRITE a b");
+    mBackend->Grant("i-1", true)->Lose();
+    AssertCode(ReplyCode::Unknown);
+    CPPUNIT_ASSERT(mBackend->mWanted.empty());
+  }
+
+  void AWriteThatWasRefusedIsSentAgain()
+  {
+    Ask(RequestKind::Write, "WRITE a b");
+    mBackend->Grant("i-1", true)->Answer(Refused(ReplyCode::Busy));
+    mHost->Pass(milliseconds(20));
+    mBackend->Grant("i-1", true)->Answer(Done("d1"));
+    AssertCode(ReplyCode::Done);
+  }
+
+  void ALostConnectionAbortsTheTransaction()
+  {
+    auto link = BeginAndRead();
+    link->BreakWhileIdle();
+    Ask(RequestKind::Write, "WRITE a b");
+    AssertCode(ReplyCode::Aborted);
+    CPPUNIT_ASSERT(Last().mTransaction == TransactionState::Failed);
+    Ask(RequestKind::Read, "READ a");
+    AssertCode(ReplyCode::Malformed);
+    Ask(RequestKind::Rollback);
+    CPPUNIT_ASSERT(Last().mTransaction == TransactionState::None);
+  }
+
+  void ALostCommitOfAWriteIsUnknown()
+  {
+    auto link = BeginAndRead();
+    Ask(RequestKind::Write, "WRITE a b");
+    link->Answer(Done("d2", TransactionState::Open));
+    Ask(RequestKind::Commit, "COMMIT");
+    link->Lose();
+    AssertCode(ReplyCode::Unknown);
+    CPPUNIT_ASSERT(Last().mTransaction == TransactionState::None);
+  }
+
+  void AReadThatIsBehindAsksAnotherDatabase()
+  {
+    Connect("aged");
+    mBackend->mHead = LogPosition{ 3, 15 };
+    Ask(RequestKind::Read, "READ a");
+    auto link = mBackend->Grant("i-2", false);
+    CPPUNIT_ASSERT(link->mSent.back().mAfter == LogPosition({ 3, 15 }));
+    link->Answer(Refused(ReplyCode::Behind));
+    const auto& need = mBackend->mWanted.begin()->second.mNeed;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, need.mAvoid.count("i-2"));
+    CPPUNIT_ASSERT(!need.mNeedsPrimary);
+  }
+
+  void AStatementEndsAtTheRoutesTimeout()
+  {
+    Ask(RequestKind::Read, "READ a");
+    auto link = mBackend->Grant("i-1", true);
+    mHost->Pass(milliseconds(999));
+    CPPUNIT_ASSERT(mStream->mAnswers.empty());
+    mHost->Pass(milliseconds(1));
+    AssertCode(ReplyCode::TimedOut);
+    CPPUNIT_ASSERT(link->mIsClosed);
+  }
+
+  void WhatCannotBeServedIsRefusedAtOnceWithATimeToComeBack()
+  {
+    Ask(RequestKind::Read, "READ a");
+    mBackend->Refuse("overloaded", mHost->mNow + milliseconds(250));
+    AssertCode(ReplyCode::Busy);
+    CPPUNIT_ASSERT(Last().mDetail.find("retry_after_ms=250") != std::string::npos);
+  }
+
+  void OutOfContactAnAnswerIsConfirmedFirst()
+  {
+    mBackend->mMayUsePrimary = false;
+    Ask(RequestKind::Write, "WRITE a b");
+    mBackend->Grant("i-1", true)->Answer(Done("d1"));
+    CPPUNIT_ASSERT(mStream->mAnswers.empty());
+    mBackend->mConfirmations.front()(true);
+    AssertCode(ReplyCode::Done);
+  }
+
+  void AnUnconfirmedWriteIsUnknown()
+  {
+    mBackend->mMayUsePrimary = false;
+    Ask(RequestKind::Write, "WRITE a b");
+    mBackend->Grant("i-1", true)->Answer(Done("d1"));
+    mBackend->mConfirmations.front()(false);
+    AssertCode(ReplyCode::Unknown);
+  }
+
+  // The first statement's confirmation comes after its deadline, while the second one
+  // waits for its own.
+  void ALateConfirmationBelongsToNoLaterStatement()
+  {
+    mBackend->mMayUsePrimary = false;
+    Ask(RequestKind::Read, "READ a");
+    mBackend->Grant("i-1", true)->Answer(Done("d1"));
+    mHost->Pass(seconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mStream->mAnswers.size());
+    Ask(RequestKind::Read, "READ b");
+    mBackend->Grant("i-1", true)->Answer(Done("d2"));
+    mBackend->mConfirmations.front()(true);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mStream->mAnswers.size());
+    mBackend->mConfirmations.back()(true);
+    CPPUNIT_ASSERT_EQUAL(std::string("d2"), Last().mDigest);
+  }
+
+  void ALateVerdictBelongsToNoLaterStatement()
+  {
+    mHost->mAdmitsAtOnce = false;
+    Ask(RequestKind::Read, "READ a");
+    mHost->Pass(seconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mStream->mAnswers.size());
+    Ask(RequestKind::Read, "READ b");
+    mHost->mVerdicts.front()(true, mHost->mNow);
+    CPPUNIT_ASSERT(mBackend->mWanted.empty());
+    mHost->mVerdicts.back()(true, mHost->mNow);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mBackend->mWanted.size());
+  }
+
+  void AnIdleTransactionIsRolledBack()
+  {
+    auto link = BeginAndRead();
+    mHost->Pass(seconds(3));
+    CPPUNIT_ASSERT(link->mSent.back().mKind == CommandKind::Rollback);
+    Ask(RequestKind::Read, "READ a");
+    AssertCode(ReplyCode::Aborted);
+  }
+
+  void ACallerThatLeavesKeepsNoConnection()
+  {
+    auto link = BeginAndRead();
+    mSession->OnGone();
+    CPPUNIT_ASSERT(link->mSent.back().mKind == CommandKind::Rollback);
+    link->Answer(Done(""));
+    CPPUNIT_ASSERT_EQUAL(1, mBackend->mReleased);
+    Connect("strict");
+    Ask(RequestKind::Read, "READ a");
+    mSession->OnGone();
+    CPPUNIT_ASSERT(mBackend->mWanted.empty());
+  }
+
+  void ReadsAfterAnOwnCommitMustSeeIt()
+  {
+    Connect("aged");
+    mBackend->mHead = LogPosition{ 3, 15 };
+    Ask(RequestKind::Write, "WRITE a b");
+    mBackend->Grant("i-1", true)->Answer(Done("d1"));
+    Ask(RequestKind::Read, "READ a");
+    auto link = mBackend->Grant("i-2", false);
+    CPPUNIT_ASSERT(link->mSent.back().mAfter == LogPosition({ 3, 17 }));
+  }
+
+  void DrainsOnceNothingIsUnderWay()
+  {
+    auto link = BeginAndRead();
+    mHost->mIsDraining = true;
+    mSession->Drain();
+    CPPUNIT_ASSERT(!mStream->mIsClosed);
+    Ask(RequestKind::Commit, "COMMIT");
+    link->Answer(Done("d2"));
+    AssertCode(ReplyCode::Done);
+    CPPUNIT_ASSERT(mStream->mIsClosed);
+  }
+
+  std::unique_ptr<FakeHost> mHost;
+  std::unique_ptr<FakeBackend> mBackend;
+  std::shared_ptr<FakeStream> mStream;
+  std::shared_ptr<CallerRun> mSession;
+  int mRequests = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CallerRunTest);
--- /dev/null
+++ b/test/proxy/FakeBackend.h
@@ -0,0 +1,233 @@
+#pragma once
+
+#include "proxy/CallerRun.h"
+#include "sesameway/CatalogueText.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace sesameway::test {
+
+// A database connection that keeps what was sent until the test answers it.
+class FakeLink : public proxy::DatabaseLink
+{
+public:
+  void Send(std::vector<ConnectionCommand> aCommands, Replies aDone) override
+  {
+    mSent = std::move(aCommands);
+    mDone = std::move(aDone);
+    ++mBatches;
+  }
+  void Close() override
+  {
+    mIsClosed = true;
+    mOnBroken = nullptr;
+    Lose();
+  }
+  void OnBroken(std::function<void()> aCallback) override
+  {
+    mOnBroken = std::move(aCallback);
+  }
+
+  bool IsBusy() const { return mDone != nullptr; }
+  // The setup's replies are good ones.
+  void Answer(ConnectionReply aReply)
+  {
+    std::vector<ConnectionReply> replies(mSent.size());
+    for (auto& it : replies) {
+      it.mCode = ReplyCode::Done;
+    }
+    replies.back() = std::move(aReply);
+    std::exchange(mDone, nullptr)(std::move(replies));
+  }
+  void Lose()
+  {
+    if (mDone) {
+      std::exchange(mDone, nullptr)(std::vector<ConnectionReply>(mSent.size()));
+    }
+  }
+  void BreakWhileIdle()
+  {
+    if (mOnBroken) {
+      std::exchange(mOnBroken, nullptr)();
+    }
+  }
+
+  std::vector<ConnectionCommand> mSent;
+  Replies mDone;
+  std::function<void()> mOnBroken;
+  int mBatches = 0;
+  bool mIsClosed = false;
+};
+
+// Databases that hand out connections when the test says so.
+class FakeBackend : public proxy::Backend
+{
+public:
+  struct Wanted
+  {
+    proxy::LeaseNeed mNeed;
+    proxy::LeaseDone mDone;
+  };
+
+  std::uint64_t Acquire(const proxy::LeaseNeed& aNeed, proxy::LeaseDone aDone) override
+  {
+    auto ticket = ++mTickets;
+    mWanted[ticket] = { aNeed, std::move(aDone) };
+    return ticket;
+  }
+  void Drop(std::uint64_t aTicket) override { mWanted.erase(aTicket); }
+  void Release(const proxy::LeasePtr& aLease, bool aIsBroken) override
+  {
+    ++(aIsBroken ? mBroken : mReleased);
+    if (aIsBroken) {
+      aLease->mLink->Close();
+    }
+  }
+  bool MayUsePrimary(const std::string&) const override { return mMayUsePrimary; }
+  void Confirm(const std::string&, TimePoint, std::function<void(bool)> aDone) override
+  {
+    mConfirmations.push_back(std::move(aDone));
+  }
+  std::optional<LogPosition> HeadSince(const std::string&, TimePoint) const override
+  {
+    return mHead;
+  }
+  void OnSent(const proxy::Lease&) override {}
+  void OnReply(const proxy::Lease&, const ConnectionReply&, TimePoint) override {}
+
+  // Grants the oldest want a connection of its own.
+  std::shared_ptr<FakeLink> Grant(const std::string& aDatabase, bool aIsPrimary)
+  {
+    auto wanted = std::move(mWanted.begin()->second);
+    mWanted.erase(mWanted.begin());
+    auto link = std::make_shared<FakeLink>();
+    auto lease = std::make_shared<proxy::Lease>();
+    lease->mDatabase = aDatabase;
+    lease->mGroup = wanted.mNeed.mGroup;
+    lease->mIsPrimary = aIsPrimary;
+    lease->mLink = link;
+    lease->mContents = std::make_shared<ConnectionContents>();
+    wanted.mDone(lease);
+    return link;
+  }
+  void Refuse(const std::string& aReason, TimePoint aRetryAt)
+  {
+    auto wanted = std::move(mWanted.begin()->second);
+    mWanted.erase(mWanted.begin());
+    wanted.mDone(tl::unexpected(proxy::Refusal{ ReplyCode::Busy, aReason, aRetryAt }));
+  }
+
+  std::uint64_t mTickets = 0;
+  std::map<std::uint64_t, Wanted> mWanted;
+  std::deque<std::function<void(bool)>> mConfirmations;
+  std::optional<LogPosition> mHead;
+  bool mMayUsePrimary = true;
+  int mReleased = 0;
+  int mBroken = 0;
+};
+
+// A clock and alarms that the test moves, and a catalogue with one route of each kind.
+class FakeHost : public proxy::SessionHost
+{
+public:
+  class FakeAlarm : public proxy::Alarm
+  {
+  public:
+    explicit FakeAlarm(FakeHost& aHost)
+      : mHost(aHost)
+    {
+    }
+    ~FakeAlarm() override { Cancel(); }
+    void Set(TimePoint aWhen, std::function<void()> aTask) override
+    {
+      mHost.mAlarms[this] = { aWhen, std::move(aTask) };
+    }
+    void Cancel() override { mHost.mAlarms.erase(this); }
+
+  private:
+    FakeHost& mHost;
+  };
+
+  FakeHost()
+  {
+    auto catalogue = std::make_shared<Catalogue>();
+    catalogue->mIdleTransactionUs = 3'000'000;
+    catalogue->mOrganisations["acme"] = { "acme", 10, 10, 1 };
+    auto hash = HashKey("key");
+    catalogue->mKeys["k"] = { "k", "acme", hash, false };
+    catalogue->mKeyNamesByHash[hash] = "k";
+    for (const char* it : { "strict", "aged" }) {
+      RouteEntry route;
+      route.mName = it;
+      route.mGroup = "g";
+      route.mStatementTimeoutUs = 1'000'000;
+      route.mMaxAgeUs = std::string(it) == "aged" ? 1'500'000 : 0;
+      catalogue->mRoutes[it] = route;
+    }
+    mCatalogue = catalogue;
+  }
+
+  TimePoint Now() const override { return mNow; }
+  std::unique_ptr<proxy::Alarm> NewAlarm() override
+  {
+    return std::make_unique<FakeAlarm>(*this);
+  }
+  CataloguePtr Current() const override { return mCatalogue; }
+  void Admit(const Organisation&,
+             TimePoint,
+             std::function<void(bool, TimePoint)> aVerdict) override
+  {
+    if (mAdmitsAtOnce) {
+      aVerdict(true, mNow);
+    } else {
+      mVerdicts.push_back(std::move(aVerdict));
+    }
+  }
+  bool IsDraining() const override { return mIsDraining; }
+  void OnStatement(const std::string&, ReplyCode, Duration) override {}
+
+  void Pass(Duration aTime)
+  {
+    mNow += aTime;
+    for (bool hasRun = true; hasRun;) {
+      hasRun = false;
+      for (auto& it : mAlarms) {
+        if (it.second.first <= mNow) {
+          auto task = std::move(it.second.second);
+          mAlarms.erase(it.first);
+          task();
+          hasRun = true;
+          break;
+        }
+      }
+    }
+  }
+
+  TimePoint mNow{ seconds(1000) };
+  std::map<FakeAlarm*, std::pair<TimePoint, std::function<void()>>> mAlarms;
+  std::shared_ptr<const Catalogue> mCatalogue;
+  std::deque<std::function<void(bool, TimePoint)>> mVerdicts;
+  bool mAdmitsAtOnce = true;
+  bool mIsDraining = false;
+};
+
+class FakeStream : public proxy::CallerStream
+{
+public:
+  void Accept() override { mIsAccepted = true; }
+  void Refuse(ReplyCode aCode, const std::string&) override { mRefusal = aCode; }
+  void Answer(const ConnectionReply& aReply) override { mAnswers.push_back(aReply); }
+  void Close() override { mIsClosed = true; }
+
+  bool mIsAccepted = false;
+  bool mIsClosed = false;
+  std::optional<ReplyCode> mRefusal;
+  std::vector<ConnectionReply> mAnswers;
+};
+
+} // namespace sesameway::test
