--- a/src/proxy/CallerRun.h
+++ b/src/proxy/CallerRun.h
@@ -9,6 +9,35 @@
 
 namespace sesameway::proxy {
 
+namespace detail {
+
+// What is being tried for the request at hand.
+struct Attempt
+{
+  // Answers to an earlier one come late now and then.
+  std::uint64_t mNumber = 0;
+  CallerRequest mRequest;
+  CommandKind mCommand = CommandKind::Read;
+  std::optional<PreparedStatement> mPrepared;
+  TimePoint mReceivedAt{};
+  TimePoint mDeadline{};
+  TimePoint mSentAt{};
+  int mSends = 0;
+  // Set when a send may have taken effect and no answer came.
+  bool mIsUnsure = false;
+  bool mHasTimedOut = false;
+  bool mNeedsPrimary = false;
+  // Databases that did not serve it.
+  std::set<std::string> mAvoid;
+  // For the log: why the last try failed, where it was sent last, how fresh that
+  // database had to be.
+  std::string mCause;
+  std::string mDatabase;
+  std::optional<LogPosition> mAfter;
+};
+
+} // namespace detail
+
 // One caller's session: its values and prepared statements live here, not on a database
 // connection, which it holds for a statement or a transaction only.
 class CallerRun
@@ -32,30 +61,7 @@
   bool IsInTransaction() const { return mTransaction != TransactionState::None; }
 
 private:
-  // What is being tried for the request at hand.
-  struct Attempt
-  {
-    // Answers to an earlier one come late now and then.
-    std::uint64_t mNumber = 0;
-    CallerRequest mRequest;
-    CommandKind mCommand = CommandKind::Read;
-    std::optional<PreparedStatement> mPrepared;
-    TimePoint mReceivedAt{};
-    TimePoint mDeadline{};
-    TimePoint mSentAt{};
-    int mSends = 0;
-    // Set when a send may have taken effect and no answer came.
-    bool mIsUnsure = false;
-    bool mHasTimedOut = false;
-    bool mNeedsPrimary = false;
-    // Databases that did not serve it.
-    std::set<std::string> mAvoid;
-    // For the log: why the last try failed, where it was sent last, how fresh that
-    // database had to be.
-    std::string mCause;
-    std::string mDatabase;
-    std::optional<LogPosition> mAfter;
-  };
+  using Attempt = detail::Attempt;
 
   bool CheckPermission();
   void OnData();
