One daemon of a zone follows the store, the others ask it

Ruled out: longer waits, as contact with the store is what permits strict reads. Change: the first daemon by name of a zone follows; the others ask those before them, and step in one after the other where no fresh answer comes. Parts of connections keep within the cap where the fleet is larger than it; a large fleet is asked less often for its view of a primary.

--- a/src/core/Promotion.cpp
+++ b/src/core/Promotion.cpp
@@ -17,6 +17,8 @@
 constexpr Duration kAskInterval = milliseconds(300);
 // Between questions while all is well: fellows may be cut off from the primary alone.
 constexpr Duration kCalmAskInterval = milliseconds(1500);
+// A larger fleet is asked less often while all is well.
+constexpr std::size_t kDaemonsAtOnce = 16;
 // How long to look for the first primary before one is made.
 constexpr Duration kLearnLimit = milliseconds(4000);
 constexpr Duration kLearnPatience = milliseconds(1000);
@@ -151,7 +153,8 @@
   if (isQuiet || listed == nullptr || listed->mIsLeaving) {
     ProbeAll(aAround, kProbeInterval, aNow, aActions);
   }
-  auto interval = isQuiet ? kAskInterval : kCalmAskInterval;
+  auto parts = static_cast<int>(aAround.mDaemons.size() / kDaemonsAtOnce) + 1;
+  auto interval = isQuiet ? kAskInterval : kCalmAskInterval * parts;
   if (aNow - mAskedFellowsAt >= interval) {
     mAskedFellowsAt = aNow;
     aActions.emplace_back(AskFellows{});
--- a/src/proxy/DatabaseFleet.cpp
+++ b/src/proxy/DatabaseFleet.cpp
@@ -524,11 +524,10 @@
   auto near = it == mDaemonsByZone.end() ? 0 : it->second;
   auto far = std::max(mDaemons, near) - near;
   auto share = std::max<std::size_t>(1, cap / std::max<std::size_t>(1, 2 * near + far));
-  if (aDatabase.mZone != mZone) {
+  if (aDatabase.mZone != mZone || near == 0) {
     return share;
   }
-  return std::max(2 * share,
-                  near == 0 ? share : (cap - std::min(cap, far * share)) / near);
+  return std::max(share, (cap - std::min(cap, far * share)) / near);
 }
 
 void DatabaseFleet::SetLimits()
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -12,12 +12,14 @@
 
 constexpr Duration kTickInterval = milliseconds(60);
 // Of a call for changes. The own kind's shows contact with the store as well.
-constexpr Duration kOwnWait = milliseconds(1500);
-constexpr Duration kOtherWait = seconds(15);
+constexpr Duration kOwnWait = milliseconds(700);
+constexpr Duration kOtherWait = seconds(3);
+// Between questions to the zone's daemon that follows the store.
+constexpr Duration kRelayInterval = milliseconds(350);
 constexpr Duration kRegisterTimeout = milliseconds(1000);
 constexpr Duration kRegisterPause = milliseconds(700);
 // Fellows are asked when the store was last heard from this long ago.
-constexpr Duration kContactAge = milliseconds(1900);
+constexpr Duration kContactAge = milliseconds(2200);
 constexpr Duration kPullPause = milliseconds(300);
 constexpr Duration kPullTimeout = milliseconds(600);
 constexpr std::size_t kPullFellows = 2;
@@ -106,6 +108,7 @@
             { std::string(KindOf(mAdapters.mConfigurationObject)), kOtherWait },
             { mAdapters.mDatabaseKind, kOtherWait } })
   , mFleet(aLoop, *mAdapters.mDatabases, mSettings, mAdapters.mReadStatus)
+  , mWatchers(mSelf.mName)
   , mTick(aLoop)
   , mFellowAddresses(mSettings.mFellowAddresses)
 {
@@ -155,6 +158,7 @@
   mCoordinator->Tick();
   UpdateHints(now);
   Register(now);
+  FollowStore(now);
   PullFromFellows(now);
   if (mIsDraining) {
     DrainSessions();
@@ -261,6 +265,7 @@
 {
   auto name = aObject.mName.substr(std::string_view(kMemberPrefix).size());
   std::vector<std::string> zones;
+  std::vector<std::string> near;
   {
     std::lock_guard lock(mMutex);
     auto member = aObject.mDeleted ? std::nullopt : ParseMember(aObject.mBody);
@@ -271,6 +276,9 @@
     }
     for (const auto& it : mMembers) {
       zones.push_back(it.second.mZone);
+      if (it.second.mZone == mSelf.mZone) {
+        near.push_back(it.first);
+      }
     }
   }
   LOG(INFO) << daemon::Line("member")
@@ -278,6 +286,7 @@
                  .With("removed", aObject.mDeleted)
                  .With("members", zones.size());
   mFleet.SetDaemonZones(zones);
+  mWatchers.SetDaemons(std::move(near));
 }
 
 std::vector<peer::Member> Proxy::Members() const
@@ -332,15 +341,47 @@
   }
   std::erase(addresses, mSelf.mAddress);
   for (std::size_t n = 0; n < std::min(kPullFellows, addresses.size()); ++n) {
-    const auto& address = addresses[mPullTurn++ % addresses.size()];
-    auto onDelta = [this, aNow](std::optional<peer::CatalogueDelta> aDelta) {
-      if (aDelta) {
-        mLoop.Post([this, aNow, delta = std::move(*aDelta)] { OnDelta(delta, aNow); });
-      }
-    };
-    peer::CatalogueQuery query{ mSync.Revision(), aNow - mSync.Contact(), 0 };
-    mPeers->Catalogue(address, query, aNow + kPullTimeout, std::move(onDelta));
+    PullFrom(addresses[mPullTurn++ % addresses.size()], [](bool) {});
+  }
+}
+
+void Proxy::FollowStore(TimePoint aNow)
+{
+  bool mustWatch = !mIsKnown || mWatchers.MustWatch(mSync.Contact(), aNow);
+  mSync.SetFollowing(mustWatch);
+  auto fellow = mWatchers.Fellow();
+  if (mustWatch && !mIsKnown) {
+    return;
+  }
+  if (fellow.empty() || aNow < mRelayAt || mPeers == nullptr) {
+    return;
   }
+  mRelayAt = aNow + kRelayInterval;
+  std::string address;
+  for (const auto& it : Members()) {
+    if (it.mName == fellow) {
+      address = it.mAddress;
+    }
+  }
+  PullFrom(address, [this](bool aHasAnswered) {
+    aHasAnswered ? mWatchers.OnAnswer() : mWatchers.OnNoAnswer();
+  });
+}
+
+void Proxy::PullFrom(const std::string& aAddress, std::function<void(bool)> aDone)
+{
+  auto askedAt = Clock::now();
+  auto onDelta = [this, askedAt, done = std::move(aDone)](
+                   std::optional<peer::CatalogueDelta> aDelta) {
+    mLoop.Post([this, askedAt, done, delta = std::move(aDelta)] {
+      if (delta) {
+        OnDelta(*delta, askedAt);
+      }
+      done(delta && delta->mIsServing);
+    });
+  };
+  peer::CatalogueQuery query{ mSync.Revision(), askedAt - mSync.Contact(), 0 };
+  mPeers->Catalogue(aAddress, query, askedAt + kPullTimeout, std::move(onDelta));
 }
 
 void Proxy::OnDelta(const peer::CatalogueDelta& aDelta, TimePoint aAskedAt)
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -12,6 +12,7 @@
 #include "proxy/Loop.h"
 #include "proxy/Settings.h"
 #include "proxy/StoreSync.h"
+#include "sesameway/StoreWatchers.h"
 
 #include <atomic>
 #include <map>
@@ -102,8 +103,11 @@
   void OnKnown();
   void Tick();
   void Register(TimePoint aNow);
-  // Asks fellows for what this daemon misses while the store does not answer it.
+  // Follows the store, or asks the fellow of the zone that does.
+  void FollowStore(TimePoint aNow);
+  // Asks fellows of any zone while neither the store nor the zone's fellow answers.
   void PullFromFellows(TimePoint aNow);
+  void PullFrom(const std::string& aAddress, std::function<void(bool)> aDone);
   void OnDelta(const peer::CatalogueDelta& aDelta, TimePoint aAskedAt);
   void UpdateHints(TimePoint aNow);
   void LogTotals(TimePoint aNow);
@@ -122,6 +126,7 @@
   DatabaseFleet mFleet;
   std::shared_ptr<CoordinatorRun> mCoordinator;
   peer::Peers* mPeers = nullptr;
+  StoreWatchers mWatchers;
   Timer mTick;
   CataloguePtr mCatalogue;
   std::set<std::weak_ptr<CallerRun>, std::owner_less<>> mSessions;
@@ -133,6 +138,7 @@
   bool mIsRegistering = false;
   TimePoint mRegisterAgainAt{};
   TimePoint mPullAgainAt{};
+  TimePoint mRelayAt{};
   TimePoint mTotalsAt{};
   std::size_t mPullTurn = 0;
   std::vector<std::string> mFellowAddresses;
--- a/src/proxy/StoreSync.cpp
+++ b/src/proxy/StoreSync.cpp
@@ -68,6 +68,19 @@
   NoteContact(aContact);
 }
 
+void StoreSync::SetFollowing(bool aIsFollowing)
+{
+  mIsFollowing = aIsFollowing;
+  if (!aIsFollowing) {
+    return;
+  }
+  for (auto& it : mStates) {
+    if (!it->mIsActive) {
+      Follow(*it);
+    }
+  }
+}
+
 void StoreSync::Apply(const StoredObject& aObject)
 {
   ApplyAll({ aObject });
@@ -100,6 +113,7 @@
 
 void StoreSync::List(State& aState)
 {
+  aState.mIsActive = true;
   auto sentAt = Clock::now();
   mFeed.ListKind(aState.mKind.mName,
                  sentAt + kListTimeout,
@@ -126,6 +140,10 @@
 
 void StoreSync::Follow(State& aState)
 {
+  aState.mIsActive = mIsFollowing;
+  if (!mIsFollowing) {
+    return;
+  }
   auto sentAt = Clock::now();
   mFeed.ChangesAfter(
     aState.mKind.mName,
--- a/src/proxy/StoreSync.h
+++ b/src/proxy/StoreSync.h
@@ -47,6 +47,9 @@
   // An object as a write found or left it.
   void Apply(const StoredObject& aObject);
   bool IsKnown() const { return mIsKnown; }
+  // Whether to follow the store's changes; without that only fellows' copies come in.
+  // Calls under way go on.
+  void SetFollowing(bool aIsFollowing);
 
   // From any thread: all changes up to this revision are here.
   std::uint64_t Revision() const;
@@ -61,6 +64,8 @@
     Kind mKind;
     std::uint64_t mRevision = 0;
     bool mIsListed = false;
+    // A call is under way, or will be made by the retry timer.
+    bool mIsActive = false;
     int mFailures = 0;
     std::unique_ptr<Timer> mRetry;
   };
@@ -79,6 +84,7 @@
   // Never moves.
   std::vector<std::unique_ptr<State>> mStates;
   bool mIsKnown = false;
+  bool mIsFollowing = true;
   bool mIsOut = false;
   mutable std::mutex mMutex;
   ObjectTable mTable;
--- /dev/null
+++ b/test/core/StoreWatchersTest.cpp
@@ -0,0 +1,69 @@
+#include "sesameway/StoreWatchers.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace sesameway;
+
+// Load: a zone of many daemons, each of which must know of changes within seconds.
+class StoreWatchersTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(StoreWatchersTest);
+  CPPUNIT_TEST(OneDaemonOfAZoneFollowsTheStore);
+  CPPUNIT_TEST(TheNextOneStepsInWhileTheFirstIsSilent);
+  CPPUNIT_TEST(AnotherFellowIsAskedAfterAFailure);
+  CPPUNIT_TEST(AloneItFollowsTheStore);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr TimePoint kStart{ seconds(1000) };
+
+  static StoreWatchers At(int aNumber)
+  {
+    StoreWatchers watchers("d" + std::to_string(aNumber));
+    watchers.SetDaemons({ "d3", "d1", "d2", "d0" });
+    return watchers;
+  }
+
+  void OneDaemonOfAZoneFollowsTheStore()
+  {
+    int watching = 0;
+    for (int n = 0; n < 4; ++n) {
+      watching += At(n).MustWatch(kStart, kStart + seconds(1)) ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(1, watching);
+    CPPUNIT_ASSERT(At(0).MustWatch(kStart, kStart));
+  }
+
+  void TheNextOneStepsInWhileTheFirstIsSilent()
+  {
+    auto second = At(1);
+    auto third = At(2);
+    auto now = kStart;
+    while (!second.MustWatch(kStart, now)) {
+      now += milliseconds(10);
+    }
+    CPPUNIT_ASSERT(!third.MustWatch(kStart, now));
+    CPPUNIT_ASSERT(now - kStart < milliseconds(2200));
+    // It goes on for a while, and ends once the first one answers again.
+    CPPUNIT_ASSERT(second.MustWatch(now, now + seconds(1)));
+    CPPUNIT_ASSERT(!second.MustWatch(now + seconds(5), now + seconds(5)));
+  }
+
+  void AnotherFellowIsAskedAfterAFailure()
+  {
+    auto third = At(2);
+    CPPUNIT_ASSERT_EQUAL(std::string("d0"), third.Fellow());
+    third.OnNoAnswer();
+    CPPUNIT_ASSERT_EQUAL(std::string("d1"), third.Fellow());
+    third.OnAnswer();
+    CPPUNIT_ASSERT_EQUAL(std::string("d0"), third.Fellow());
+  }
+
+  void AloneItFollowsTheStore()
+  {
+    StoreWatchers watchers("d0");
+    CPPUNIT_ASSERT(watchers.MustWatch(kStart, kStart));
+    CPPUNIT_ASSERT(watchers.Fellow().empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreWatchersTest);
