--- /dev/null
+++ b/test/platform/ObjectStoreTest.cpp
@@ -0,0 +1,356 @@
+#include "ObjectStore.h"
+#include "Decode.h"
+#include "HttpServer.h"
+#include "SettingsFile.h"
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+#include <thread>
+
+using namespace sesameway;
+using namespace sesameway::platform;
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+// A store that gives one canned answer a call, on loopback, and keeps what was asked.
+class StandinStore
+{
+public:
+  explicit StandinStore(proxy::Loop& aLoop)
+    : mAcceptor(aLoop.Io(), tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+  {
+    Accept();
+  }
+
+  std::string Address() const
+  {
+    return "127.0.0.1:" + std::to_string(mAcceptor.local_endpoint().port());
+  }
+  void Stop() { mAcceptor.close(); }
+
+  // An empty answer is none: the connection stays silent.
+  std::deque<std::string> mAnswers;
+  std::vector<std::string> mAsked;
+  int mConnections = 0;
+
+private:
+  struct Connection
+  {
+    explicit Connection(tcp::socket aSocket)
+      : mSocket(std::move(aSocket))
+    {
+    }
+    tcp::socket mSocket;
+    std::string mIn;
+    std::string mOut;
+  };
+
+  void Accept()
+  {
+    mAcceptor.async_accept([this](auto aError, tcp::socket aSocket) {
+      if (aError) {
+        return;
+      }
+      ++mConnections;
+      Read(std::make_shared<Connection>(std::move(aSocket)));
+      Accept();
+    });
+  }
+
+  void Read(const std::shared_ptr<Connection>& aConnection)
+  {
+    boost::asio::async_read_until(
+      aConnection->mSocket,
+      boost::asio::dynamic_buffer(aConnection->mIn),
+      "\r\n\r\n",
+      [this, aConnection](auto aError, std::size_t aBytes) {
+        if (aError || mAnswers.empty()) {
+          return;
+        }
+        auto line = aConnection->mIn.substr(0, aConnection->mIn.find(" HTTP"));
+        mAsked.push_back(line);
+        aConnection->mIn.erase(0, aBytes);
+        aConnection->mIn.clear();
+        auto body = mAnswers.front();
+        mAnswers.pop_front();
+        if (body.empty()) {
+          return;
+        }
+        aConnection->mOut = body;
+        boost::asio::async_write(aConnection->mSocket,
+                                 boost::asio::buffer(aConnection->mOut),
+                                 [this, aConnection](auto aFailure, std::size_t) {
+                                   if (!aFailure) {
+                                     Read(aConnection);
+                                   }
+                                 });
+      });
+  }
+
+  tcp::acceptor mAcceptor;
+};
+
+std::string Http(int aStatus, const std::string& aBody)
+{
+  return "HTTP/1.1 " + std::to_string(aStatus) +
+         " X\r\nContent-Type: application/json\r\nContent-Length: " +
+         std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+std::string ObjectText(const std::string& aName, int aRevision)
+{
+  return R"({"meta":{"name":")" + aName + R"(","rev":)" + std::to_string(aRevision) +
+         R"(},"spec":"body","status":null})";
+}
+
+} // namespace
+
+class ObjectStoreTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(ObjectStoreTest);
+  CPPUNIT_TEST(ReadsAllPagesOfAList);
+  CPPUNIT_TEST(CreatesAndReplacesOnCondition);
+  CPPUNIT_TEST(AConflictShowsTheObjectInTheWay);
+  CPPUNIT_TEST(ARefusalIsNoAnswer);
+  CPPUNIT_TEST(ALateAnswerClosesTheConnection);
+  CPPUNIT_TEST(FollowsChanges);
+  CPPUNIT_TEST(NoticesThatTheHistoryIsGone);
+  CPPUNIT_TEST(NonsenseIsNoAnswer);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override
+  {
+    mLoop = std::make_unique<proxy::Loop>();
+    mServer = std::make_unique<StandinStore>(*mLoop);
+    mStore = std::make_shared<ObjectStore>(*mLoop, mServer->Address());
+  }
+  void tearDown() override
+  {
+    mStore.reset();
+    mServer.reset();
+    mLoop.reset();
+  }
+
+private:
+  // Runs the loop until the answer is there.
+  template<typename Result>
+  std::optional<Result> Wait(
+    const std::function<void(std::function<void(std::optional<Result>)>)>& aCall)
+  {
+    std::optional<Result> result;
+    aCall([&](std::optional<Result> aResult) {
+      result = std::move(aResult);
+      mLoop->Stop();
+    });
+    mLoop->Io().restart();
+    mLoop->Run();
+    return result;
+  }
+
+  static TimePoint Soon() { return Clock::now() + seconds(5); }
+
+  std::optional<PutResult> Put(std::uint64_t aExpected)
+  {
+    return Wait<PutResult>([&](auto aDone) {
+      mStore->Put("sesameway/a", "body", aExpected, false, Soon(), aDone);
+    });
+  }
+
+  void ReadsAllPagesOfAList()
+  {
+    mServer->mAnswers = { Http(200,
+                               R"({"items":[)" + ObjectText("a", 3) +
+                                 R"(],"hasMore":true,"currentRev":9})"),
+                          Http(200,
+                               R"({"items":[)" + ObjectText("b", 4) +
+                                 R"(],"hasMore":false,"currentRev":11})") };
+    auto listing =
+      Wait<Listing>([&](auto aDone) { mStore->ListKind("servers", Soon(), aDone); });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, listing->mObjects.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("servers/b"), listing->mObjects[1].mName);
+    // Of the first page: what changed since comes again.
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 9 }, listing->mRevision);
+    CPPUNIT_ASSERT_EQUAL(std::string("GET /objects/servers?after=a"),
+                         mServer->mAsked.back());
+    CPPUNIT_ASSERT_EQUAL(1, mServer->mConnections);
+  }
+
+  void CreatesAndReplacesOnCondition()
+  {
+    mServer->mAnswers = { Http(201, ObjectText("a", 5)) };
+    CPPUNIT_ASSERT(Put(0)->mApplied);
+    CPPUNIT_ASSERT_EQUAL(std::string("POST /objects/sesameway"),
+                         mServer->mAsked.back());
+    mServer->mAnswers = { Http(200, ObjectText("a", 6)) };
+    auto result = Put(5);
+    CPPUNIT_ASSERT_EQUAL(std::string("PUT /objects/sesameway/a"),
+                         mServer->mAsked.back());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 6 }, result->mObject.mVersion);
+  }
+
+  void AConflictShowsTheObjectInTheWay()
+  {
+    mServer->mAnswers = { Http(409, ObjectText("a", 8)) };
+    auto result = Put(5);
+    CPPUNIT_ASSERT(result && !result->mApplied);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 8 }, result->mObject.mRevision);
+  }
+
+  void ARefusalIsNoAnswer()
+  {
+    mServer->mAnswers = { Http(503, ""), Http(429, "") };
+    CPPUNIT_ASSERT(!Put(5));
+    CPPUNIT_ASSERT(!Put(5));
+  }
+
+  void ALateAnswerClosesTheConnection()
+  {
+    mServer->mAnswers = { "" };
+    auto late = Wait<PutResult>([&](auto aDone) {
+      mStore->Put(
+        "sesameway/a", "body", 5, false, Clock::now() + milliseconds(50), aDone);
+    });
+    CPPUNIT_ASSERT(!late);
+    mServer->mAnswers = { Http(200, ObjectText("a", 6)) };
+    CPPUNIT_ASSERT(Put(5)->mApplied);
+    CPPUNIT_ASSERT_EQUAL(2, mServer->mConnections);
+  }
+
+  std::optional<Changes> Follow()
+  {
+    return Wait<Changes>([&](auto aDone) {
+      mStore->ChangesAfter("servers", 4, Clock::now() + milliseconds(100), aDone);
+    });
+  }
+
+  void FollowsChanges()
+  {
+    mServer->mAnswers = { Http(200,
+                               R"({"events":[{"deleted":false,"object":)" +
+                                 ObjectText("a", 5) + R"(},{"deleted":true,"object":)" +
+                                 ObjectText("b", 2) + R"(}],"currentRev":7})") };
+    auto changes = Follow();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, changes->mObjects.size());
+    CPPUNIT_ASSERT(changes->mObjects[1].mDeleted);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 7 }, changes->mRevision);
+  }
+
+  void NoticesThatTheHistoryIsGone()
+  {
+    mServer->mAnswers = { Http(410, "") };
+    CPPUNIT_ASSERT(Follow()->mIsHistoryGone);
+  }
+
+  void NonsenseIsNoAnswer()
+  {
+    mServer->mAnswers = { Http(200, "{"),
+                          Http(200, "[]"),
+                          Http(200, R"({"events":3})") };
+    CPPUNIT_ASSERT(!Follow());
+    CPPUNIT_ASSERT(!Follow());
+    CPPUNIT_ASSERT(!Follow());
+  }
+
+  std::unique_ptr<proxy::Loop> mLoop;
+  std::unique_ptr<StandinStore> mServer;
+  std::shared_ptr<ObjectStore> mStore;
+};
+
+class DecodeTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(DecodeTest);
+  CPPUNIT_TEST(ReadsAConfiguration);
+  CPPUNIT_TEST(ARouteToPrimariesTakesNoAge);
+  CPPUNIT_TEST(ReadsADatabase);
+  CPPUNIT_TEST(RejectsEntriesThatNameNoDatabase);
+  CPPUNIT_TEST(ReadsSettings);
+  CPPUNIT_TEST(NamesAllThatIsWrongWithSettings);
+  CPPUNIT_TEST_SUITE_END();
+
+  void ReadsAConfiguration()
+  {
+    auto read = DecodeConfiguration(
+      R"({"version":7,"routes":[{"name":"r","host":"lepu","type":"bounded","timeoutMs":2000,
+          "prio":2,"service":"s","maxStaleMs":1500,"public":false}],
+          "services":[{"name":"s","maxConns":22}],"limits":{"txIdleMs":3000},
+          "tenants":[{"name":"acme","apiKeys":["k1"],"perS":12.5,"burst":20}]})",
+      19);
+    const auto& catalogue = read->mCatalogue;
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 7 }, read->mVersion);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 19 }, catalogue.mRevision);
+    const auto* route = catalogue.FindRoute("lepu");
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 1'500'000 }, route->mMaxAgeUs);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{ 22 }, catalogue.FindGroup("s")->mConnections);
+    CPPUNIT_ASSERT_EQUAL(12.5, catalogue.FindOrganisation("acme")->mRate);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 3'000'000 }, catalogue.mIdleTransactionUs);
+    CPPUNIT_ASSERT(!DecodeConfiguration("[]", 1));
+  }
+
+  void ARouteToPrimariesTakesNoAge()
+  {
+    auto read = DecodeConfiguration(
+      R"({"version":1,"routes":[{"host":"a","type":"primary","maxStaleMs":900}]})", 1);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 0 },
+                         read->mCatalogue.FindRoute("a")->mMaxAgeUs);
+  }
+
+  void ReadsADatabase()
+  {
+    auto read =
+      DecodeDatabase("i-1",
+                     R"({"service":"s","addr":"10.0.0.1:80","zone":"z","slots":3,
+                                   "state":"drain","dbRole":"replica","sequence":4,"born":9})");
+    CPPUNIT_ASSERT(read && read->mIsLeaving && read->mRole == DatabaseRole::Replica);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 9 }, read->mStartedAtMs);
+  }
+
+  void RejectsEntriesThatNameNoDatabase()
+  {
+    for (const char* it : { "",
+                            "[1]",
+                            "{}",
+                            R"({"service":"s","addr":"10.0.0.1:80","state":"resting"})",
+                            R"({"service":4,"addr":"10.0.0.1:80","state":"ready"})",
+                            R"({"service":"s","state":"ready"})" }) {
+      CPPUNIT_ASSERT_MESSAGE(it, !DecodeDatabase("i-1", it));
+    }
+  }
+
+  void ReadsSettings()
+  {
+    auto settings = ReadSettings(
+      R"({"nodeName":"f1","zone":"z","ip":"10.0.0.1","zones":{"z":"r"},
+          "listen":{"front":"10.0.0.1:1","ready":"10.0.0.1:2"},"portRange":[7560,7575],
+          "seedNodes":["10.0.0.2:3"],"parameters":{"graceS":6},
+          "platform":{"addr":"10.0.0.9:4"},"cloud":{"addr":"10.0.0.9:5"}})");
+    CPPUNIT_ASSERT(settings.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:7560"), settings->mPeerAddress);
+    CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:7561"), settings->mMetricsAddress);
+    CPPUNIT_ASSERT(settings->mGrace < seconds(6));
+  }
+
+  void NamesAllThatIsWrongWithSettings()
+  {
+    auto settings = ReadSettings(R"({"nodeName":"f1","listen":{"front":"nowhere"}})");
+    CPPUNIT_ASSERT(!settings);
+    auto isNamed = [&](const std::string& aKey) {
+      return std::any_of(settings.error().begin(),
+                         settings.error().end(),
+                         [&](const auto& aIt) { return aIt.mKey == aKey; });
+    };
+    CPPUNIT_ASSERT(isNamed("zone") && isNamed("listen.front") &&
+                   isNamed("platform.addr"));
+    CPPUNIT_ASSERT(!ReadSettings("{"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ObjectStoreTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(DecodeTest);
