A restarted daemon uses its former floor slots at once

Ruled out: filling buckets at the start, which could admit more than rate and burst. Change: where the former process of this name has certainly ended, as this one listens at its address, its floor slots are used before the table shows the new incarnation.

--- a/include/sesameway/Shares.h
+++ b/include/sesameway/Shares.h
@@ -115,6 +115,10 @@
   void OnNoAnswer(TimePoint aNow);
   // The platform's list of VMs.
   void OnListed(const std::set<std::string>& aNames, TimePoint aNow);
+  // An earlier incarnation of this daemon has certainly ended: its floor slots are used
+  // before the table shows this one as their holder. Where a whole fleet restarts at
+  // once that takes a second.
+  void UseFormerSlots();
   // Hands everything back; the daemon drains.
   void Leave();
 
@@ -137,6 +141,7 @@
   void Watch(SlotTable& aTable, TimePoint aNow) const;
   Duration TurnDelay(const std::string& aHolder) const;
   void BackOff(TimePoint aNow);
+  void UseFormerIfAllowed();
   void StopUsing(const SlotTable& aWanted);
   Duration ReadInterval() const;
 
@@ -154,6 +159,7 @@
   bool mIsSettled = false;
   bool mWantsRead = true;
   bool mIsRegistered = false;
+  bool mMayUseFormer = false;
   bool mIsReplaced = false;
   bool mIsLeaving = false;
   bool mHasLeft = false;
--- a/src/core/Shares.cpp
+++ b/src/core/Shares.cpp
@@ -463,6 +463,7 @@
   } else if (mIsRegistered && mine != mTable.mHolders.end()) {
     mIsReplaced = true;
   }
+  UseFormerIfAllowed();
   mHasLeft = mIsLeaving && !isMine;
   std::erase_if(mMarkSeen, [&](const auto& aEntry) {
     auto it = mTable.mHolders.find(aEntry.first);
@@ -503,6 +504,27 @@
     seconds(holders) / kReadsPerSecond, kMinTableReadInterval, kMaxTableReadInterval);
 }
 
+void ShareLedger::UseFormerSlots()
+{
+  mMayUseFormer = true;
+  UseFormerIfAllowed();
+}
+
+// Only floor slots: nothing is known of the former incarnation's lease.
+void ShareLedger::UseFormerIfAllowed()
+{
+  auto former = mTable.mHolders.find(mName);
+  bool isOver = mIsRegistered || mIsLeaving || former == mTable.mHolders.end();
+  if (!mMayUseFormer || isOver) {
+    return;
+  }
+  mUsable.clear();
+  std::copy_if(former->second.mSlots.begin(),
+               former->second.mSlots.end(),
+               std::back_inserter(mUsable),
+               IsFloor);
+}
+
 void ShareLedger::OnNoAnswer(TimePoint aNow)
 {
   mWritten.reset();
--- a/src/daemon/ShareKeeper.cpp
+++ b/src/daemon/ShareKeeper.cpp
@@ -33,6 +33,15 @@
   Tick();
 }
 
+void ShareKeeper::UseFormerSlots()
+{
+  {
+    std::lock_guard lock(mMutex);
+    mLedger.UseFormerSlots();
+  }
+  Publish(mMembers());
+}
+
 void ShareKeeper::HandBack(TimePoint aDeadline)
 {
   {
--- a/src/daemon/ShareKeeper.h
+++ b/src/daemon/ShareKeeper.h
@@ -40,6 +40,8 @@
               std::shared_ptr<platform::Platform> aPlatform,
               const peer::Member& aSelf);
   void Start(MemberList aMembers, Listener aListener);
+  // See ShareLedger.
+  void UseFormerSlots();
   // Hands the slots back: the daemon leaves for good. Blocks until that is confirmed or
   // the deadline has passed.
   void HandBack(TimePoint aDeadline);
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -130,13 +130,13 @@
   mPeers = aPeers;
   mCoordinator->SetPeers(aPeers);
   mAdmission->Start(aPeers);
-  mSync.Start({ [this](const StoredObject& aObject) { OnChange(aObject); },
-                [this](TimePoint aContact) { mFleet.SetContact(aContact); },
-                [this] { OnKnown(); } });
   mShareKeeper->Start([this] { return Members(); },
                       [this](daemon::HoldingPtr aHolding) {
                         mAdmission->OnHolding(std::move(aHolding));
                       });
+  mSync.Start({ [this](const StoredObject& aObject) { OnChange(aObject); },
+                [this](TimePoint aContact) { mFleet.SetContact(aContact); },
+                [this] { OnKnown(); } });
   Tick();
 }
 
@@ -281,6 +281,12 @@
       }
     }
   }
+  // The former process of this name has ended if this one listens at its address.
+  auto former = aObject.mDeleted ? std::nullopt : ParseMember(aObject.mBody);
+  if (former && name == mSelf.mName && former->mAddress == mSelf.mAddress &&
+      former->mIncarnation != mSelf.mIncarnation) {
+    mShareKeeper->UseFormerSlots();
+  }
   LOG(INFO) << daemon::Line("member")
                  .With("name", name)
                  .With("removed", aObject.mDeleted)
--- a/test/core/SharesTest.cpp
+++ b/test/core/SharesTest.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(LeaseCountsFromBeforeTheReadWasSent);
   CPPUNIT_TEST(HandBackThatMayStillTakeEffectCountsAsDone);
   CPPUNIT_TEST(NewIncarnationTakesOverAndTheOldOneStops);
+  CPPUNIT_TEST(AfterARestartFormerFloorSlotsAreUsedAtOnce);
   CPPUNIT_TEST(TableSurvivesItsText);
   CPPUNIT_TEST_SUITE_END();
 
@@ -93,6 +94,20 @@
     CPPUNIT_ASSERT(before.IsReplaced() && before.Held().mSlots.empty());
   }
 
+  // Load: all daemons restart at once, and all callers come back.
+  void AfterARestartFormerFloorSlotsAreUsedAtOnce()
+  {
+    ShareLedger after("a", "z", 2);
+    after.UseFormerSlots();
+    after.Next(kStart);
+    after.OnTable(AllOf("a", 1), 5, kStart, kStart);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ kFloorSlots }, after.Held().mSlots.size());
+    CPPUNIT_ASSERT(after.Held().mLeaseEnd == TimePoint{});
+    // Another daemon has freed them before this one registered.
+    after.OnTable(AllOf("b", 1), 6, kStart, kStart);
+    CPPUNIT_ASSERT(after.Held().mSlots.empty());
+  }
+
   void TableSurvivesItsText()
   {
     auto table = AllOf("a", 0xf000'0000'0000'0001);
