--- a/src/proxy/CallerRun.cpp
+++ b/src/proxy/CallerRun.cpp
@@ -507,15 +507,19 @@
     });
 }
 
-void CallerRun::OnUnconfirmed()
+// What was sent last may have taken effect for good, though no answer can be given.
+void CallerRun::NoteEffect()
 {
   auto& attempt = *mAttempt;
   bool isCommit = attempt.mCommand == CommandKind::Commit;
   bool isSingleWrite =
     mTransaction == TransactionState::None && IsWrite(attempt.mCommand);
-  if (isSingleWrite || (isCommit && mHasWritten)) {
-    attempt.mIsUnsure = true;
-  }
+  attempt.mIsUnsure |= isSingleWrite || (isCommit && mHasWritten);
+}
+
+void CallerRun::OnUnconfirmed()
+{
+  NoteEffect();
   GiveBack(true);
   RetryOrFail(ReplyCode::Aborted, "primary_not_confirmed");
 }
@@ -572,18 +576,14 @@
 void CallerRun::OnLost()
 {
   auto& attempt = *mAttempt;
-  bool isCommit = attempt.mCommand == CommandKind::Commit;
-  bool isSingleWrite =
-    mTransaction == TransactionState::None && IsWrite(attempt.mCommand);
-  if (isSingleWrite || (isCommit && mHasWritten)) {
-    attempt.mIsUnsure = true;
-  }
+  NoteEffect();
   if (mLease) {
     attempt.mAvoid.insert(mLease->mDatabase);
     GiveBack(true);
   }
   if (attempt.mHasTimedOut) {
     if (mTransaction == TransactionState::Open) {
+      bool isCommit = attempt.mCommand == CommandKind::Commit;
       mTransaction = isCommit ? TransactionState::None : TransactionState::Failed;
     }
     Answer(Reply(ReplyCode::TimedOut, "route_timeout", mTransaction));
--- a/src/proxy/CallerRun.h
+++ b/src/proxy/CallerRun.h
@@ -85,6 +85,7 @@
   void OnOutcome(ConnectionReply aReply);
   void OnDone(ConnectionReply aReply);
   void Deliver(ConnectionReply aReply);
+  void NoteEffect();
   void OnUnconfirmed();
   void OnNotRun(ConnectionReply aReply);
   void OnLost();
