An entry is safe only where no later term has been granted

Schedule: primary 0 of term 123 writes entry 184; term 124 goes to database 1, which lacks it; term 125 goes to 0 again, which copies the entry to database 2; 0 and 2 report heads of term 123 at 184, so it counts as safe; term 127 is won by 1, as its log ends in term 124, and the entry is gone. Change: a database counts only if it has granted no later term than the entry's.

--- a/include/sesameway/Routing.h
+++ b/include/sesameway/Routing.h
@@ -127,7 +127,8 @@
                  TimePoint aNow);
 
 // Whether a log that ends with an entry of `aEntry.mTerm`, at its place or later, is on
-// a majority. Reports of any time count: what was once so is kept by every later term.
+// a majority that has granted no later term. Reports of any time count: what was once
+// so is kept by every later term.
 bool IsSafe(const GroupView& aView, const LogPosition& aEntry);
 
 // Whether no later term can have had a primary at `aSince`: a majority, asked since,
--- a/src/core/Routing.cpp
+++ b/src/core/Routing.cpp
@@ -169,10 +169,12 @@
   for (const auto& it : aView.mDatabases) {
     // A head of another term says nothing of this term's entry: the log may hold
     // another entry at that place, and an inherited entry alone on a majority can still
-    // be lost.
-    if (it.mHead.mTerm == aEntry.mTerm && it.mHead.mPosition >= aEntry.mPosition) {
-      ++holders;
-    }
+    // be lost. That is what it is on a database that has granted a newer term: it may
+    // have come by that term's primary, and a log with a term in between beats it.
+    bool isInherited = it.mGrantedTerm > aEntry.mTerm;
+    bool holds =
+      it.mHead.mTerm == aEntry.mTerm && it.mHead.mPosition >= aEntry.mPosition;
+    holders += holds && !isInherited ? 1 : 0;
   }
   return holders * 2 > aView.mDatabases.size();
 }
--- a/test/core/RoutingTest.cpp
+++ b/test/core/RoutingTest.cpp
@@ -10,6 +10,7 @@
   CPPUNIT_TEST(ReadGoesToReplicaThatHoldsTheToken);
   CPPUNIT_TEST(ReadGoesToPrimaryWhenReplicasAreBehindTheToken);
   CPPUNIT_TEST(InheritedEntryOnAMajorityIsNotSafe);
+  CPPUNIT_TEST(EntryThatCameAfterALaterGrantIsNotSafe);
   CPPUNIT_TEST(HeadOfThePrimaryThatAnswersFirstIsDatedOnceConfirmed);
   CPPUNIT_TEST(HeadOfAReplacedPrimaryIsNeverDated);
   CPPUNIT_TEST_SUITE_END();
@@ -94,6 +95,22 @@
     view.mDatabases[2].mHead = { 2, 10 };
     CPPUNIT_ASSERT(!IsSafe(view, { 3, 10 }));
   }
+
+  // A later term's primary has copied the entry; a log of a term in between, which
+  // lacks it, would win against it.
+  void EntryThatCameAfterALaterGrantIsNotSafe()
+  {
+    auto view = ThreeDatabases();
+    for (auto& it : view.mDatabases) {
+      it.mHead = { 3, 10 };
+      it.mGrantedTerm = 3;
+    }
+    CPPUNIT_ASSERT(IsSafe(view, { 3, 10 }));
+    view.mDatabases[1].mGrantedTerm = 5;
+    CPPUNIT_ASSERT(IsSafe(view, { 3, 10 }));
+    view.mDatabases[2].mGrantedTerm = 5;
+    CPPUNIT_ASSERT(!IsSafe(view, { 3, 10 }));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RoutingTest);
--- a/test/core/SessionPropertyTest.cpp
+++ b/test/core/SessionPropertyTest.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <array>
 #include <random>
 #include <set>
 
@@ -14,6 +15,11 @@
 namespace {
 
 constexpr std::size_t kSteps = 20000;
+// Schedules that a long run has found.
+constexpr std::array<std::uint64_t, 4> kFailedOnce{ 317011501901,
+                                                    2549,
+                                                    1043956929,
+                                                    63301973662 };
 constexpr std::size_t kHomes = 2;
 constexpr std::size_t kSessions = 3;
 constexpr Duration kTimeout = milliseconds(600);
@@ -405,8 +411,22 @@
 {
   CPPUNIT_TEST_SUITE(SessionPropertyTest);
   CPPUNIT_TEST(AnswersAreTrueOverInterleavings);
+  CPPUNIT_TEST(AnswersAreTrueOverSchedulesThatFailedOnce);
   CPPUNIT_TEST_SUITE_END();
 
+  // An entry that reached a majority only after it had granted a later term was taken
+  // for safe, and lost to a log with a term in between.
+  void AnswersAreTrueOverSchedulesThatFailedOnce()
+  {
+    bool holds = rc::check("schedules that failed once", [] {
+      for (auto seed : kFailedOnce) {
+        Schedule schedule(seed, kSteps);
+        schedule.Run();
+      }
+    });
+    CPPUNIT_ASSERT(holds);
+  }
+
   void AnswersAreTrueOverInterleavings()
   {
     std::size_t done = 0;
