--- a/include/sesameway/Shares.h
+++ b/include/sesameway/Shares.h
@@ -29,7 +29,7 @@
 // differ in that time.
 inline constexpr Duration kSlotLeaseWait = seconds(47);
 // How often the table is read: grows with the fleet between these two.
-inline constexpr Duration kMinTableReadInterval = seconds(5);
+inline constexpr Duration kMinTableReadInterval = seconds(2);
 inline constexpr Duration kMaxTableReadInterval = seconds(15);
 // How long the platform's list must lack a holder before it is marked.
 inline constexpr Duration kAbsenceWait = seconds(5);
--- a/src/core/Limits.cpp
+++ b/src/core/Limits.cpp
@@ -18,7 +18,7 @@
 // that it has nothing again, since an organisation over its rate finds nothing
 // anywhere.
 constexpr Duration kAskPause = milliseconds(10);
-constexpr int kMaxAskDoublings = 5;
+constexpr int kMaxAskDoublings = 3;
 constexpr Duration kAskPauseAfterSilence = milliseconds(100);
 // A daemon that admitted something within this time keeps half of its bucket.
 constexpr Duration kBusyTime = milliseconds(200);
