One reading of a member's record, of a request's freshness and of a store's answer; dead fields go

Cause: a read of the whole change. Ruled out, as places that only look alike: the overrides in Proxy.h and Engine.h, the two enumerations of commands and requests, blocks of constants. Change: FreshSince, StoreSync::Apply of the platform's object, ForgetMissing with NextForget. Behaviour and tests are unchanged.

--- a/src/proxy/Backend.h
+++ b/src/proxy/Backend.h
@@ -35,8 +35,6 @@
   // Reads see all that was acknowledged before this time, and this position.
   TimePoint mFreshSince{};
   std::optional<LogPosition> mToken;
-  // For choosing among idle connections.
-  const SessionValues* mValues = nullptr;
   // Those that have just failed to serve it.
   std::set<std::string> mAvoid;
 };
--- a/src/proxy/CallerRun.cpp
+++ b/src/proxy/CallerRun.cpp
@@ -297,13 +297,10 @@
   need.mPriority = mRoute->mPriority;
   need.mDeadline = attempt.mDeadline;
   need.mNeedsPrimary = attempt.mNeedsPrimary;
-  bool isInTransaction = mTransaction == TransactionState::Open;
-  auto since = isInTransaction ? mBegunAt : attempt.mReceivedAt;
-  need.mFreshSince = since - Duration(microseconds(mRoute->mMaxAgeUs));
+  need.mFreshSince = FreshSince(attempt);
   if (mTokenGroup == need.mGroup) {
     need.mToken = mToken;
   }
-  need.mValues = &mValues;
   need.mAvoid = attempt.mAvoid;
   // The callback may come before Acquire returns; its ticket is void then.
   auto isOver = std::make_shared<bool>(false);
@@ -345,15 +342,19 @@
   Send();
 }
 
+TimePoint CallerRun::FreshSince(const Attempt& aAttempt) const
+{
+  bool isInTransaction = mTransaction == TransactionState::Open;
+  auto since = isInTransaction ? mBegunAt : aAttempt.mReceivedAt;
+  return since - Duration(microseconds(mRoute->mMaxAgeUs));
+}
+
 std::optional<LogPosition> CallerRun::FreshAfter(const Attempt& aAttempt) const
 {
   if (mLease->mIsPrimary) {
     return std::nullopt;
   }
-  bool isInTransaction = mTransaction == TransactionState::Open;
-  auto since = isInTransaction ? mBegunAt : aAttempt.mReceivedAt;
-  auto after = mBackend.HeadSince(mLease->mGroup,
-                                  since - Duration(microseconds(mRoute->mMaxAgeUs)));
+  auto after = mBackend.HeadSince(mLease->mGroup, FreshSince(aAttempt));
   if (mToken && mTokenGroup == mLease->mGroup) {
     after = after ? std::max(*after, *mToken) : *mToken;
   }
@@ -660,8 +661,7 @@
 {
   if (mTransaction == TransactionState::Open) {
     RollBack();
-    bool isCommit = mAttempt->mCommand == CommandKind::Commit &&
-                    mAttempt->mRequest.mKind == RequestKind::Commit;
+    bool isCommit = mAttempt->mCommand == CommandKind::Commit;
     mTransaction = isCommit ? TransactionState::None : TransactionState::Failed;
   }
   Answer(Reply(aCode, aDetail, mTransaction));
--- a/src/proxy/CallerRun.h
+++ b/src/proxy/CallerRun.h
@@ -80,6 +80,8 @@
                  std::function<void(ConnectionReply)> aThen);
   void OnReplies(std::vector<ConnectionReply> aReplies,
                  const std::function<void(ConnectionReply)>& aThen);
+  // Reads of the request see all that was acknowledged before this time.
+  TimePoint FreshSince(const Attempt& aAttempt) const;
   // What a replica's log must hold for the request.
   std::optional<LogPosition> FreshAfter(const Attempt& aAttempt) const;
   void OnOutcome(ConnectionReply aReply);
--- a/src/proxy/CoordinatorRun.cpp
+++ b/src/proxy/CoordinatorRun.cpp
@@ -73,9 +73,7 @@
                       : std::nullopt;
     self->mLease.OnWritten(revision, Clock::now());
     if (aResult && aResult->mObject.mRevision != 0) {
-      const auto& object = aResult->mObject;
-      self->mParts.mSync.Apply(
-        { object.mName, object.mVersion, object.mRevision, object.mBody, false });
+      self->mParts.mSync.Apply(aResult->mObject);
     }
   };
   mParts.mStore.Put(kCoordinatorObject,
@@ -169,9 +167,7 @@
   auto onResult = [self = shared_from_this(),
                    aGroup](std::optional<platform::PutResult> aResult) {
     if (aResult && aResult->mObject.mRevision != 0) {
-      const auto& object = aResult->mObject;
-      self->mParts.mSync.Apply(
-        { object.mName, object.mVersion, object.mRevision, object.mBody, false });
+      self->mParts.mSync.Apply(aResult->mObject);
     }
     if (auto* plan = self->PlanOf(aGroup)) {
       plan->OnWritten(aResult ? std::optional(aResult->mApplied) : std::nullopt,
--- a/src/proxy/DatabaseFleet.cpp
+++ b/src/proxy/DatabaseFleet.cpp
@@ -144,19 +144,26 @@
   begin();
 }
 
-void DatabaseFleet::Tick()
+void DatabaseFleet::ForgetMissing(TimePoint aNow)
 {
-  auto now = Clock::now();
+  if (aNow < mList.NextForget()) {
+    return;
+  }
   auto names = mList.Names();
-  if (mList.Forget(now)) {
-    for (const auto& it : names) {
-      if (mList.Find(it) == nullptr) {
-        LOG(INFO) << daemon::Line("database_gone").With("database", it);
-        auto pool = mPools.extract(it);
-        pool.mapped()->Retire();
-      }
+  mList.Forget(aNow);
+  for (const auto& it : names) {
+    if (mList.Find(it) == nullptr) {
+      LOG(INFO) << daemon::Line("database_gone").With("database", it);
+      auto pool = mPools.extract(it);
+      pool.mapped()->Retire();
     }
   }
+}
+
+void DatabaseFleet::Tick()
+{
+  auto now = Clock::now();
+  ForgetMissing(now);
   for (auto& it : mGroups) {
     AskForHead(it.first, it.second, now);
   }
--- a/src/proxy/DatabaseFleet.h
+++ b/src/proxy/DatabaseFleet.h
@@ -129,6 +129,8 @@
   Duration DistanceTo(const std::string& aZone) const;
   std::size_t LimitOf(const ListedDatabase& aDatabase) const;
   void SetLimits();
+  // Gives up the databases that have been missing from the store too long.
+  void ForgetMissing(TimePoint aNow);
   void AskForHead(const std::string& aName, Group& aGroup, TimePoint aNow);
   std::size_t BusyAtPrimary(const std::string& aGroup) const;
 
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -264,11 +264,11 @@
 void Proxy::OnMember(const StoredObject& aObject)
 {
   auto name = aObject.mName.substr(std::string_view(kMemberPrefix).size());
+  auto member = aObject.mDeleted ? std::nullopt : ParseMember(aObject.mBody);
   std::vector<std::string> zones;
   std::vector<std::string> near;
   {
     std::lock_guard lock(mMutex);
-    auto member = aObject.mDeleted ? std::nullopt : ParseMember(aObject.mBody);
     if (member) {
       mMembers[name] = *member;
     } else {
@@ -282,9 +282,8 @@
     }
   }
   // The former process of this name has ended if this one listens at its address.
-  auto former = aObject.mDeleted ? std::nullopt : ParseMember(aObject.mBody);
-  if (former && name == mSelf.mName && former->mAddress == mSelf.mAddress &&
-      former->mIncarnation != mSelf.mIncarnation) {
+  if (member && name == mSelf.mName && member->mAddress == mSelf.mAddress &&
+      member->mIncarnation != mSelf.mIncarnation) {
     mShareKeeper->UseFormerSlots();
   }
   LOG(INFO) << daemon::Line("member")
@@ -317,21 +316,18 @@
     return;
   }
   mIsRegistering = true;
-  mAdapters.mStore->Put(
-    name,
-    body,
-    known ? known->mVersion : 0,
-    false,
-    aNow + kRegisterTimeout,
-    [this](std::optional<platform::PutResult> aResult) {
-      mIsRegistering = false;
-      mRegisterAgainAt = Clock::now() + kRegisterPause;
-      if (aResult && aResult->mObject.mRevision != 0) {
-        const auto& object = aResult->mObject;
-        mSync.Apply(
-          { object.mName, object.mVersion, object.mRevision, object.mBody, false });
-      }
-    });
+  mAdapters.mStore->Put(name,
+                        body,
+                        known ? known->mVersion : 0,
+                        false,
+                        aNow + kRegisterTimeout,
+                        [this](std::optional<platform::PutResult> aResult) {
+                          mIsRegistering = false;
+                          mRegisterAgainAt = Clock::now() + kRegisterPause;
+                          if (aResult && aResult->mObject.mRevision != 0) {
+                            mSync.Apply(aResult->mObject);
+                          }
+                        });
 }
 
 void Proxy::PullFromFellows(TimePoint aNow)
--- a/src/proxy/StoreSync.cpp
+++ b/src/proxy/StoreSync.cpp
@@ -81,9 +81,9 @@
   }
 }
 
-void StoreSync::Apply(const StoredObject& aObject)
+void StoreSync::Apply(const platform::Object& aObject)
 {
-  ApplyAll({ aObject });
+  ApplyAll({ ToStored(aObject) });
 }
 
 std::uint64_t StoreSync::Revision() const
--- a/src/proxy/StoreSync.h
+++ b/src/proxy/StoreSync.h
@@ -45,7 +45,7 @@
              std::uint64_t aRevision,
              TimePoint aContact);
   // An object as a write found or left it.
-  void Apply(const StoredObject& aObject);
+  void Apply(const platform::Object& aObject);
   bool IsKnown() const { return mIsKnown; }
   // Whether to follow the store's changes; without that only fellows' copies come in.
   // Calls under way go on.
