--- a/src/daemon/Metrics.cpp
+++ b/src/daemon/Metrics.cpp
@@ -1,10 +1,18 @@
 #include "daemon/Metrics.h"
 
+#include <cmath>
+
 namespace sesameway::daemon {
 
 namespace {
 
 namespace acc = boost::accumulators;
+namespace histogram = boost::histogram;
+
+// Of a histogram: 1, 2 and 5 in each power of ten. For latencies in microseconds, 100
+// us to 20 s.
+constexpr std::array kBounds{ 1e2, 2e2, 5e2, 1e3, 2e3, 5e3, 1e4, 2e4, 5e4,
+                              1e5, 2e5, 5e5, 1e6, 2e6, 5e6, 1e7, 2e7 };
 
 constexpr std::array<double, 2> kQuantiles{ 0.5, 0.99 };
 // With fewer values the P-square algorithm has no estimate.
@@ -42,6 +50,8 @@
 
 Distribution::Distribution()
   : mValues(acc::extended_p_square_probabilities = kQuantiles)
+  , mHistogram(histogram::make_histogram(
+      histogram::axis::variable<>(kBounds.begin(), kBounds.end())))
 {
 }
 
@@ -49,6 +59,8 @@
 {
   oneapi::tbb::spin_mutex::scoped_lock lock(mMutex);
   mValues(aValue);
+  // A bin holds its lower bound; values up to a bound are to be counted with it.
+  mHistogram(std::nextafter(aValue, 0.0));
 }
 
 void Distribution::AppendTo(const std::string& aName,
@@ -61,6 +73,12 @@
   add(".count", static_cast<double>(acc::count(mValues)));
   add(".mean", acc::mean(mValues));
   add(".max", acc::max(mValues));
+  double below = 0;
+  // Bin -1 is what lies below the first bound.
+  for (int n = 0; n < static_cast<int>(kBounds.size()); ++n) {
+    below += mHistogram.at(n - 1);
+    add((".le_" + std::to_string(std::llround(kBounds[n]))).c_str(), below);
+  }
   if (acc::count(mValues) < kMarkers) {
     return;
   }
--- a/src/daemon/Metrics.h
+++ b/src/daemon/Metrics.h
@@ -9,6 +9,10 @@
 #include <boost/accumulators/statistics/max.hpp>
 #include <boost/accumulators/statistics/mean.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
+#include <boost/histogram/accumulators/count.hpp>
+#include <boost/histogram/axis/variable.hpp>
+#include <boost/histogram/histogram.hpp>
+#include <boost/histogram/make_histogram.hpp>
 
 #include <oneapi/tbb/concurrent_map.h>
 #include <oneapi/tbb/spin_mutex.h>
@@ -51,8 +55,8 @@
   std::array<Part, kParts> mParts;
 };
 
-// Count, mean and maximum of values since the start, and p50 and p99 once there are a
-// few. Its lock is its own.
+// Count, mean and maximum of values since the start, p50 and p99 once there are a few,
+// and a histogram: `.le_N` counts the values up to N. Its lock is its own.
 class Distribution
 {
 public:
@@ -67,8 +71,11 @@
                                boost::accumulators::tag::mean,
                                boost::accumulators::tag::max,
                                boost::accumulators::tag::extended_p_square_quantile>>;
+  using Histogram =
+    decltype(boost::histogram::make_histogram(boost::histogram::axis::variable<>()));
   mutable oneapi::tbb::spin_mutex mMutex;
   Values mValues;
+  Histogram mHistogram;
 };
 
 // Counters and distributions by name, read from outside through the operator's service.
--- a/test/shell/MetricsTest.cpp
+++ b/test/shell/MetricsTest.cpp
@@ -12,6 +12,7 @@
 {
   CPPUNIT_TEST_SUITE(MetricsTest);
   CPPUNIT_TEST(CountsOfAllThreadsAddUp);
+  CPPUNIT_TEST(HistogramCountsTheValuesUpToEachBound);
   CPPUNIT_TEST_SUITE_END();
 
   void CountsOfAllThreadsAddUp()
@@ -42,6 +43,23 @@
     CPPUNIT_ASSERT_EQUAL(double{ kThreads } * kRounds, values["values.count"]);
     CPPUNIT_ASSERT_EQUAL(7.0, values["values.p99"]);
   }
+
+  void HistogramCountsTheValuesUpToEachBound()
+  {
+    Metrics metrics;
+    for (double it : { 0.0, 100.0, 101.0, 1000.0, 30'000'000.0 }) {
+      metrics.Record("latency_us.r", it);
+    }
+    std::map<std::string, double> values;
+    for (const auto& it : metrics.Read()) {
+      values[it.mName] = it.mValue;
+    }
+    CPPUNIT_ASSERT_EQUAL(2.0, values["latency_us.r.le_100"]);
+    CPPUNIT_ASSERT_EQUAL(3.0, values["latency_us.r.le_200"]);
+    CPPUNIT_ASSERT_EQUAL(4.0, values["latency_us.r.le_1000"]);
+    CPPUNIT_ASSERT_EQUAL(4.0, values["latency_us.r.le_20000000"]);
+    CPPUNIT_ASSERT_EQUAL(5.0, values["latency_us.r.count"]);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(MetricsTest);
