Core: daemons gone for good are removed, and one that has just come is asked too

Cause: records of daemons were never removed. With most of a fleet lost for good most of the records never answered, so that a silent primary was not replaced, and each change of primary waited 3.2 s for them. Looking for a safe removal showed a second hole: a daemon that had just written its record might use the primary while the coordinator, which had not read the record yet, did not ask it to stand down.

Change: the coordinator calls a record missing after 15 s without an answer and removes it 3.2 s later, each on condition of its version; a daemon relies on contact with the store only from the time on that it saw its own record there, not called missing; the coordinator takes all for asked only when it has read the store up to the change's own record. Missing daemons don't count for the majority that must not hear from a primary. Removals in a watch get the revision of the answer, as fellows that copy what is newer took them for known.

Ruled out: removing by the majority's word (a fleet that lost most daemons has none), and waiting only for those that answered lately (one that is cut off may still use the primary).

Shown by: PromotionTest's two tests of lost daemons and DaemonThatCameJustBeforeTheChangeIsAskedToo, which fail before; NeverOrdersWhileTheOldPrimaryIsInUse now also removes records and lets the coordinator's copy lag; MembershipTest; ObjectTableTest::FellowsThatKnowTheObjectHearOfItsRemoval.

--- a/include/sesameway/Promotion.h
+++ b/include/sesameway/Promotion.h
@@ -83,8 +83,12 @@
   struct Surroundings
   {
     std::vector<const ListedDatabase*> mDatabases;
-    // All daemons of the fleet, this one included.
+    // All daemons that have a record in the store, this one included.
     std::vector<std::string> mDaemons;
+    // Those of them that have not answered for long, and may be gone for good.
+    std::set<std::string> mMissing;
+    // Of the store; every daemon that had its record by then is among them.
+    std::uint64_t mRevision = 0;
     std::string mSelf;
   };
 
@@ -150,6 +154,7 @@
                   TimePoint aNow) const;
   bool IsOutOfReach(const Surroundings& aAround, TimePoint aNow) const;
   bool IsClosed(const GroupRecord& aRecord,
+                std::uint64_t aRevision,
                 const Surroundings& aAround,
                 TimePoint aNow,
                 Actions& aActions) const;
--- /dev/null
+++ b/src/core/Membership.cpp
@@ -0,0 +1,127 @@
+#include "sesameway/Membership.h"
+
+#include "sesameway/Leadership.h"
+
+#include <algorithm>
+#include <sstream>
+#include <toml++/toml.h>
+
+namespace sesameway {
+
+namespace {
+
+// Several of the coordinator's questions to a large fleet, and longer than most cuts.
+constexpr Duration kMissingAfter = seconds(15);
+// The contact that the daemon had before it was called missing ends in this time.
+constexpr Duration kRemoveAfter = kContactLimit + kContactMargin;
+// After a call to the store, until the record shows its effect.
+constexpr Duration kActPause = seconds(2);
+
+} // namespace
+
+tl::expected<MemberRecord, std::string> ParseMemberRecord(std::string_view aBody)
+{
+  toml::table table;
+  try {
+    table = toml::parse(aBody);
+  } catch (const toml::parse_error& error) {
+    return tl::unexpected(std::string(error.description()));
+  }
+  MemberRecord record;
+  record.mName = table["name"].value_or(std::string());
+  record.mZone = table["zone"].value_or(std::string());
+  record.mAddress = table["address"].value_or(std::string());
+  auto incarnation = table["incarnation"].value_or(std::string());
+  record.mIncarnation = std::strtoull(incarnation.c_str(), nullptr, 10);
+  record.mIsMissing = table["missing"].value_or(false);
+  if (record.mName.empty() || record.mAddress.empty()) {
+    return tl::unexpected(std::string("a name and an address"));
+  }
+  return record;
+}
+
+std::string FormatMemberRecord(const MemberRecord& aRecord)
+{
+  toml::table table{ { "name", aRecord.mName },
+                     { "zone", aRecord.mZone },
+                     { "address", aRecord.mAddress },
+                     { "incarnation", std::to_string(aRecord.mIncarnation) } };
+  if (aRecord.mIsMissing) {
+    table.insert("missing", true);
+  }
+  std::ostringstream text;
+  text << table;
+  return text.str();
+}
+
+Registration::Registration(std::string aName, std::string aAddress)
+  : mName(std::move(aName))
+  , mAddress(std::move(aAddress))
+{
+}
+
+// A former process's record will do: the coordinator asks by name and address.
+void Registration::OnRecord(const MemberRecord* aRecord, TimePoint aNow)
+{
+  bool isRegistered = aRecord != nullptr && !aRecord->mIsMissing &&
+                      aRecord->mName == mName && aRecord->mAddress == mAddress;
+  if (!isRegistered) {
+    mSince = TimePoint::max();
+  } else if (mSince == TimePoint::max()) {
+    mSince = aNow;
+  }
+}
+
+bool Registration::Covers(TimePoint aSentAt) const
+{
+  return aSentAt >= mSince;
+}
+
+void MemberWatch::OnAnswer(const std::string& aName, TimePoint aNow)
+{
+  auto it = mKnown.find(aName);
+  if (it != mKnown.end()) {
+    it->second.mSeenAt = aNow;
+  }
+}
+
+std::vector<MemberWatch::Action> MemberWatch::Step(
+  const std::vector<MemberRecord>& aRecords,
+  std::string_view aSelf,
+  TimePoint aNow)
+{
+  std::vector<Action> actions;
+  std::erase_if(mKnown, [&](const auto& aKnown) {
+    return std::none_of(aRecords.begin(), aRecords.end(), [&](const auto& aRecord) {
+      return aRecord.mName == aKnown.first;
+    });
+  });
+  for (const auto& it : aRecords) {
+    if (it.mName == aSelf) {
+      continue;
+    }
+    auto& known = mKnown.try_emplace(it.mName, Known{ it.mIncarnation, aNow, {}, {} })
+                    .first->second;
+    bool isNew = known.mIncarnation != it.mIncarnation;
+    bool isBack = known.mMissingSince != TimePoint{} && !it.mIsMissing;
+    if (isNew || isBack) {
+      known = { it.mIncarnation, aNow, {}, {} };
+    }
+    if (it.mIsMissing && known.mMissingSince == TimePoint{}) {
+      known.mMissingSince = aNow;
+    }
+    if (aNow < known.mActAgainAt) {
+      continue;
+    }
+    if (it.mIsMissing && aNow - known.mMissingSince > kRemoveAfter) {
+      actions.emplace_back(Remove{ it.mName });
+      known.mActAgainAt = aNow + kActPause;
+    } else if (!it.mIsMissing && aNow - known.mSeenAt > kMissingAfter) {
+      actions.emplace_back(CallMissing{ it.mName });
+      known.mActAgainAt = aNow + kActPause;
+    }
+  }
+  return actions;
+}
+
+} // namespace sesameway
--- a/src/core/ObjectTable.cpp
+++ b/src/core/ObjectTable.cpp
@@ -1,6 +1,8 @@
 #include "sesameway/ObjectTable.h"
 
+#include <algorithm>
 #include <set>
+#include <string>
 
 namespace sesameway {
 
@@ -71,6 +73,17 @@
   }
 }
 
+void DateRemovals(std::vector<StoredObject>& aChanges, std::uint64_t aRevision)
+{
+  std::set<std::string> later;
+  for (auto it = aChanges.rbegin(); it != aChanges.rend(); ++it) {
+    bool isLast = later.insert(it->mName).second;
+    if (isLast && it->mDeleted) {
+      it->mRevision = std::max(it->mRevision, aRevision);
+    }
+  }
+}
+
 std::string_view KindOf(std::string_view aName)
 {
   return aName.substr(0, aName.find('/'));
--- a/src/core/Promotion.cpp
+++ b/src/core/Promotion.cpp
@@ -196,13 +196,19 @@
 }
 
 // Whether most of the fleet has answered, and most of those that have do not hear from
-// the primary. One that is cut off itself hears from few fellows.
+// the primary. One that is cut off itself hears from few fellows. Daemons that may be
+// gone for good are left out, or a fleet that has lost most of them could do nothing.
 bool PromotionPlan::IsOutOfReach(const Surroundings& aAround, TimePoint aNow) const
 {
+  std::size_t present = 0;
   std::size_t answered = 0;
   std::size_t reached = 0;
   std::size_t lost = 0;
   for (const auto& it : aAround.mDaemons) {
+    if (aAround.mMissing.count(it) > 0) {
+      continue;
+    }
+    ++present;
     auto fellow = mFellows.find(it);
     if (fellow == mFellows.end()) {
       continue;
@@ -215,7 +221,7 @@
       ++(*fellow->second.mSilence < kSilence ? reached : lost);
     }
   }
-  return answered * 2 > aAround.mDaemons.size() && lost > reached;
+  return answered * 2 > present && lost > reached;
 }
 
 void PromotionPlan::StepChanging(const GroupRecord& aRecord,
@@ -233,7 +239,7 @@
     mIsOrderRefused = false;
   }
   ProbeAll(aAround, kChangeProbeInterval, aNow, aActions);
-  if (!IsClosed(aRecord, aAround, aNow, aActions)) {
+  if (!IsClosed(aRecord, aRevision, aAround, aNow, aActions)) {
     return;
   }
   if (mClosedAt == TimePoint{}) {
@@ -257,6 +263,7 @@
 }
 
 bool PromotionPlan::IsClosed(const GroupRecord& aRecord,
+                             std::uint64_t aRevision,
                              const Surroundings& aAround,
                              TimePoint aNow,
                              Actions& aActions) const
@@ -271,8 +278,10 @@
       ask.mDaemons.push_back(it);
     }
   }
+  // One that came just before the record may not be known yet.
+  bool areAllKnown = aAround.mRevision >= aRevision;
   if (ask.mDaemons.empty()) {
-    return true;
+    return areAllKnown;
   }
   aActions.emplace_back(std::move(ask));
   return false;
--- /dev/null
+++ b/test/core/MembershipTest.cpp
@@ -0,0 +1,125 @@
+#include "sesameway/Membership.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace sesameway;
+
+class MembershipTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(MembershipTest);
+  CPPUNIT_TEST(RecordSurvivesItsText);
+  CPPUNIT_TEST(RecordWithoutNameOrAddressIsRefused);
+  CPPUNIT_TEST(ContactCountsFromTheRecordOn);
+  CPPUNIT_TEST(ContactEndsWhenTheRecordIsGoneOrCallsTheDaemonMissing);
+  CPPUNIT_TEST(RecordOfAnotherAddressDoesNotCount);
+  CPPUNIT_TEST(SilentDaemonIsCalledMissingAndThenRemoved);
+  CPPUNIT_TEST(AnswerOrNewRecordPutsItOff);
+  CPPUNIT_TEST(OwnRecordIsLeftAlone);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr TimePoint kStart{ seconds(1000) };
+  using Actions = std::vector<MemberWatch::Action>;
+
+  static MemberRecord Of(const std::string& aName)
+  {
+    return { aName, "z", "10.0.0.1:1", 7, false };
+  }
+  template<typename Kind>
+  static bool IsOne(const Actions& aActions)
+  {
+    return aActions.size() == 1 && std::holds_alternative<Kind>(aActions.front());
+  }
+
+  void RecordSurvivesItsText()
+  {
+    auto record = Of("d1");
+    record.mIncarnation = 0xffff'ffff'ffff'ffff;
+    CPPUNIT_ASSERT(*ParseMemberRecord(FormatMemberRecord(record)) == record);
+    record.mIsMissing = true;
+    CPPUNIT_ASSERT(*ParseMemberRecord(FormatMemberRecord(record)) == record);
+  }
+
+  void RecordWithoutNameOrAddressIsRefused()
+  {
+    CPPUNIT_ASSERT(!ParseMemberRecord("name = \"d1\""));
+    CPPUNIT_ASSERT(!ParseMemberRecord("address = \"10.0.0.1:1\""));
+    CPPUNIT_ASSERT(!ParseMemberRecord("= ="));
+  }
+
+  void ContactCountsFromTheRecordOn()
+  {
+    Registration registration("d1", "10.0.0.1:1");
+    CPPUNIT_ASSERT(!registration.Covers(kStart));
+    auto record = Of("d1");
+    registration.OnRecord(&record, kStart);
+    CPPUNIT_ASSERT(!registration.Covers(kStart - milliseconds(1)));
+    CPPUNIT_ASSERT(registration.Covers(kStart));
+    // Shown again later: nothing changes.
+    registration.OnRecord(&record, kStart + seconds(1));
+    CPPUNIT_ASSERT(registration.Covers(kStart));
+  }
+
+  void ContactEndsWhenTheRecordIsGoneOrCallsTheDaemonMissing()
+  {
+    Registration registration("d1", "10.0.0.1:1");
+    auto record = Of("d1");
+    registration.OnRecord(&record, kStart);
+    registration.OnRecord(nullptr, kStart + seconds(1));
+    CPPUNIT_ASSERT(!registration.Covers(kStart + seconds(2)));
+    registration.OnRecord(&record, kStart + seconds(3));
+    record.mIsMissing = true;
+    registration.OnRecord(&record, kStart + seconds(4));
+    CPPUNIT_ASSERT(!registration.Covers(kStart + seconds(5)));
+  }
+
+  void RecordOfAnotherAddressDoesNotCount()
+  {
+    Registration registration("d1", "10.0.0.2:1");
+    auto record = Of("d1");
+    registration.OnRecord(&record, kStart);
+    CPPUNIT_ASSERT(!registration.Covers(kStart + seconds(1)));
+  }
+
+  void SilentDaemonIsCalledMissingAndThenRemoved()
+  {
+    MemberWatch watch;
+    std::vector<MemberRecord> records{ Of("d1") };
+    CPPUNIT_ASSERT(watch.Step(records, "d0", kStart).empty());
+    CPPUNIT_ASSERT(watch.Step(records, "d0", kStart + seconds(14)).empty());
+    auto missing = kStart + seconds(16);
+    CPPUNIT_ASSERT(IsOne<MemberWatch::CallMissing>(watch.Step(records, "d0", missing)));
+    // Until the record shows it, now and then.
+    CPPUNIT_ASSERT(watch.Step(records, "d0", missing + milliseconds(100)).empty());
+    records.front().mIsMissing = true;
+    CPPUNIT_ASSERT(watch.Step(records, "d0", missing + seconds(1)).empty());
+    CPPUNIT_ASSERT(watch.Step(records, "d0", missing + seconds(4)).empty());
+    CPPUNIT_ASSERT(IsOne<MemberWatch::Remove>(
+      watch.Step(records, "d0", missing + seconds(1) + milliseconds(3300))));
+  }
+
+  void AnswerOrNewRecordPutsItOff()
+  {
+    MemberWatch watch;
+    std::vector<MemberRecord> records{ Of("d1") };
+    watch.Step(records, "d0", kStart);
+    watch.OnAnswer("d1", kStart + seconds(10));
+    CPPUNIT_ASSERT(watch.Step(records, "d0", kStart + seconds(24)).empty());
+    records.front().mIncarnation = 8;
+    CPPUNIT_ASSERT(watch.Step(records, "d0", kStart + seconds(26)).empty());
+    records.front().mIsMissing = true;
+    watch.Step(records, "d0", kStart + seconds(30));
+    // Written anew: it lives.
+    records.front().mIsMissing = false;
+    CPPUNIT_ASSERT(watch.Step(records, "d0", kStart + seconds(42)).empty());
+  }
+
+  void OwnRecordIsLeftAlone()
+  {
+    MemberWatch watch;
+    std::vector<MemberRecord> records{ Of("d0") };
+    watch.Step(records, "d0", kStart);
+    CPPUNIT_ASSERT(watch.Step(records, "d0", kStart + seconds(60)).empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MembershipTest);
--- a/test/core/ObjectTableTest.cpp
+++ b/test/core/ObjectTableTest.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(NeverGoesBack);
   CPPUNIT_TEST(AListRemovesWhatItLacks);
   CPPUNIT_TEST(ARemovalMayCarryTheLastRevision);
+  CPPUNIT_TEST(FellowsThatKnowTheObjectHearOfItsRemoval);
   CPPUNIT_TEST(TwoCopiesAgreeHoweverChangesCome);
   CPPUNIT_TEST_SUITE_END();
 
@@ -56,6 +57,25 @@
     CPPUNIT_ASSERT(table.Apply(At("servers/a", 4)));
   }
 
+  // The store shows a removed object with the revision of its last change.
+  void FellowsThatKnowTheObjectHearOfItsRemoval()
+  {
+    ObjectTable table;
+    std::vector<StoredObject> changes{ At("servers/a", 3),
+                                       At("servers/a", 3, true),
+                                       At("servers/b", 4, true),
+                                       At("servers/b", 6) };
+    DateRemovals(changes, 9);
+    for (const auto& it : changes) {
+      table.Apply(it);
+    }
+    auto newer = table.ChangesSince(7);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, newer.size());
+    CPPUNIT_ASSERT(newer.front().mDeleted && newer.front().mName == "servers/a");
+    // Created again before the answer: not removed.
+    CPPUNIT_ASSERT(table.Find("servers/b") != nullptr);
+  }
+
   void TwoCopiesAgreeHoweverChangesCome()
   {
     CPPUNIT_ASSERT(rc::check([] {
--- a/test/core/PromotionTest.cpp
+++ b/test/core/PromotionTest.cpp
@@ -1,4 +1,5 @@
 #include "sesameway/Promotion.h"
+#include "sesameway/Membership.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
@@ -22,6 +23,7 @@
 struct FakeDaemon
 {
   Leadership mLeadership;
+  Registration mRegistration{ {}, {} };
   TimePoint mContact{};
   // Answers the coordinator.
   bool mIsReached = true;
@@ -38,7 +40,7 @@
   explicit World(std::size_t aDaemons)
   {
     for (std::size_t n = 0; n < aDaemons; ++n) {
-      mDaemons["d" + std::to_string(n)];
+      Add("d" + std::to_string(n));
     }
     for (int n = 0; n < 3; ++n) {
       auto name = "i-" + std::to_string(n);
@@ -50,6 +52,11 @@
     }
   }
 
+  void Add(const std::string& aName)
+  {
+    mDaemons[aName].mRegistration = Registration(aName, aName);
+  }
+
   std::string Primary() const { return mRecord.mPrimary; }
   FakeDatabase& At(const std::string& aName) { return mDatabases.at(aName); }
 
@@ -73,12 +80,14 @@
     for (auto& it : mDaemons) {
       auto& daemon = it.second;
       if (daemon.mReadsStore) {
-        daemon.mContact = mNow;
-        if (mRevision != 0) {
-          daemon.mLeadership.OnRecord(mRecord, mRevision);
-        }
+        ReadStore(it.first, daemon);
       }
     }
+    if (mDoesCoordinatorFollow) {
+      mSeenMembers = mMembers;
+      mSeenRevision = mStoreRevision;
+    }
+    RunMemberWatch();
     RunPlan();
     FinishPromotion();
   }
@@ -104,19 +113,77 @@
   }
 
   // Another daemon becomes the coordinator and knows only the store's record.
-  void ReplaceCoordinator() { mPlan = PromotionPlan("g"); }
+  void ReplaceCoordinator()
+  {
+    mPlan = PromotionPlan("g");
+    mMemberWatch = MemberWatch();
+  }
 
   TimePoint mNow = kStart;
   std::map<std::string, FakeDaemon> mDaemons;
   std::map<std::string, FakeDatabase> mDatabases;
   GroupRecord mRecord;
   std::uint64_t mRevision = 0;
+  // The daemons' records in the store, and the coordinator's copy of them.
+  std::map<std::string, MemberRecord> mMembers;
+  std::map<std::string, MemberRecord> mSeenMembers;
+  bool mDoesCoordinatorFollow = true;
   bool mDoesStoreAnswer = true;
   int mOrders = 0;
   std::string mOrderedWhileInUse;
   bool mAreOrdersLost = false;
 
 private:
+  void ReadStore(const std::string& aName, FakeDaemon& aDaemon)
+  {
+    auto record = mMembers.find(aName);
+    bool isThere = record != mMembers.end();
+    aDaemon.mRegistration.OnRecord(isThere ? &record->second : nullptr, mNow);
+    if (!isThere || record->second.mIsMissing) {
+      mMembers[aName] = { aName, "z", aName, 1, false };
+      ++mStoreRevision;
+    }
+    if (aDaemon.mRegistration.Covers(mNow)) {
+      aDaemon.mContact = mNow;
+    }
+    if (mRevision != 0) {
+      aDaemon.mLeadership.OnRecord(mRecord, mRevision);
+    }
+  }
+
+  void RunMemberWatch()
+  {
+    std::vector<MemberRecord> records;
+    for (const auto& it : mSeenMembers) {
+      records.push_back(it.second);
+    }
+    for (const auto& it : mMemberWatch.Step(records, "d0", mNow)) {
+      std::visit([this](const auto& aAction) { Do(aAction); }, it);
+    }
+  }
+
+  // On condition that the record is the one that the coordinator has seen.
+  bool MayWrite(const std::string& aName) const
+  {
+    auto record = mMembers.find(aName);
+    return mDoesStoreAnswer && record != mMembers.end() &&
+           record->second == mSeenMembers.at(aName);
+  }
+  void Do(const MemberWatch::CallMissing& aAction)
+  {
+    if (MayWrite(aAction.mName)) {
+      mMembers[aAction.mName].mIsMissing = true;
+      ++mStoreRevision;
+    }
+  }
+  void Do(const MemberWatch::Remove& aAction)
+  {
+    if (MayWrite(aAction.mName)) {
+      mMembers.erase(aAction.mName);
+      ++mStoreRevision;
+    }
+  }
+
   void RunPlan()
   {
     PromotionPlan::Surroundings around;
@@ -124,8 +191,14 @@
     for (const auto& it : mDatabases) {
       around.mDatabases.push_back(&it.second.mListed);
     }
-    for (const auto& it : mDaemons) {
+    around.mRevision = mSeenRevision;
+    for (const auto& it : mSeenMembers) {
       around.mDaemons.push_back(it.first);
+      if (it.second.mIsMissing) {
+        around.mMissing.insert(it.first);
+      }
+    }
+    for (const auto& it : mDaemons) {
       auto primary = mDatabases.find(Primary());
       bool hears = primary != mDatabases.end() && primary->second.mIsUp &&
                    it.second.mReachesPrimary;
@@ -149,6 +222,7 @@
     for (const auto& it : mDaemons) {
       if (it.second.mIsReached && it.first != "d0") {
         mPlan.OnFellow(it.first, mSilence[it.first], mNow);
+        mMemberWatch.OnAnswer(it.first, mNow);
       }
     }
   }
@@ -161,7 +235,7 @@
     bool isTaken = aWrite.mExpected == mRevision;
     if (isTaken) {
       mRecord = aWrite.mRecord;
-      ++mRevision;
+      mRevision = ++mStoreRevision;
     }
     mPlan.OnWritten(isTaken, mNow);
   }
@@ -216,6 +290,9 @@
   }
 
   PromotionPlan mPlan{ "g" };
+  MemberWatch mMemberWatch;
+  std::uint64_t mStoreRevision = 0;
+  std::uint64_t mSeenRevision = 0;
   std::map<std::string, Duration> mSilence;
   std::string mPromoting;
   TimePoint mPromotedAt{};
@@ -233,6 +310,9 @@
   CPPUNIT_TEST(ReplacesAPrimaryThatMostCannotReach);
   CPPUNIT_TEST(HandsOverFromALeavingPrimaryWithoutLoss);
   CPPUNIT_TEST(WaitsOutADaemonThatDoesNotAnswer);
+  CPPUNIT_TEST(DaemonThatIsGoneForGoodIsNotWaitedFor);
+  CPPUNIT_TEST(FleetThatHasLostMostOfItsDaemonsReplacesAPrimary);
+  CPPUNIT_TEST(DaemonThatCameJustBeforeTheChangeIsAskedToo);
   CPPUNIT_TEST(ANewCoordinatorFinishesWhatWasBegun);
   CPPUNIT_TEST(OrdersAgainWhenNothingHappens);
   CPPUNIT_TEST(NeverOrdersWhileTheOldPrimaryIsInUse);
@@ -310,6 +390,48 @@
     CPPUNIT_ASSERT(world.mOrderedWhileInUse.empty());
   }
 
+  // Load: VMs are replaced at other addresses; each leaves a record behind.
+  void DaemonThatIsGoneForGoodIsNotWaitedFor()
+  {
+    World world(3);
+    world.Run(seconds(1));
+    world.mDaemons["d2"].mIsReached = false;
+    world.mDaemons["d2"].mReadsStore = false;
+    world.Run(seconds(25));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, world.mMembers.size());
+    world.At("i-0").mIsUp = false;
+    CPPUNIT_ASSERT(world.RunUntilServedBy("i-1", seconds(3)));
+  }
+
+  void FleetThatHasLostMostOfItsDaemonsReplacesAPrimary()
+  {
+    World world(5);
+    world.Run(seconds(1));
+    for (const char* it : { "d1", "d2", "d3" }) {
+      world.mDaemons[it].mIsReached = false;
+      world.mDaemons[it].mReadsStore = false;
+    }
+    world.Run(seconds(25));
+    world.At("i-0").mIsUp = false;
+    CPPUNIT_ASSERT(world.RunUntilServedBy("i-1", seconds(3)));
+  }
+
+  // The coordinator has not read its record yet.
+  void DaemonThatCameJustBeforeTheChangeIsAskedToo()
+  {
+    World world(3);
+    world.Run(seconds(1));
+    world.mDoesCoordinatorFollow = false;
+    world.Add("d9");
+    world.Run(milliseconds(300));
+    CPPUNIT_ASSERT(world.MaySend("d9"));
+    world.At("i-0").mIsUp = false;
+    world.mDaemons["d9"].mReadsStore = false;
+    world.Run(seconds(6));
+    CPPUNIT_ASSERT(world.mOrderedWhileInUse.empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("i-1"), world.Primary());
+  }
+
   void ANewCoordinatorFinishesWhatWasBegun()
   {
     World world(3);
@@ -344,7 +466,7 @@
       for (int n = 0; n < 25; ++n) {
         auto daemon = "d" + std::to_string(*rc::gen::inRange(0, 4));
         auto database = "i-" + std::to_string(*rc::gen::inRange(0, 3));
-        switch (*rc::gen::inRange(0, 7)) {
+        switch (*rc::gen::inRange(0, 9)) {
           case 0:
             world.mDaemons[daemon].mReadsStore ^= true;
             break;
@@ -363,6 +485,14 @@
           case 5:
             world.ReplaceCoordinator();
             break;
+          case 6:
+            world.mDoesCoordinatorFollow ^= true;
+            break;
+          case 7:
+            // Long enough for records to be removed.
+            world.Run(seconds(*rc::gen::inRange(0, 25)));
+            RC_ASSERT(world.mOrderedWhileInUse.empty());
+            break;
           default:
             world.mDoesStoreAnswer ^= true;
         }
