--- a/src/daemon/Log.cpp
+++ b/src/daemon/Log.cpp
@@ -5,6 +5,7 @@
 #include <oneapi/tbb/concurrent_queue.h>
 
 #include <atomic>
+#include <cstdio>
 #include <mutex>
 #include <thread>
 
@@ -12,7 +13,7 @@
 
 namespace {
 
-constexpr Duration kWriteInterval = milliseconds(20);
+constexpr Duration kWriteInterval = milliseconds(100);
 // Beyond this lines are dropped and counted: the log is slower than the statements.
 constexpr std::size_t kMaxWaiting = 20'000;
 
@@ -53,6 +54,8 @@
     if (auto dropped = mDropped.exchange(0); dropped > 0) {
       LOG(WARNING) << Line("log_lines_dropped").With("lines", dropped);
     }
+    // Other threads' lines as well: a process that is killed leaves its last ones.
+    std::fflush(stdout);
   }
 
 private:
