Shares come soon after one daemon was alone; reads leave a database that takes no connections

One daemon wrote the table of limits before it knew any fellow, took all slots, and handed them back two seconds later; the others had just read the table and read it again after 13 s.

Change: a daemon waits for fellows before its first write also while it knows none, and one that lacks slots reads again after 2 s; a database that takes no connections counts as slow and its waiters go elsewhere; six sends, and busy is no failure.

--- a/include/sesameway/ConnectionPlan.h
+++ b/include/sesameway/ConnectionPlan.h
@@ -81,6 +81,8 @@
 
   std::size_t Waiting() const { return mWaiters.size(); }
   std::size_t Connections() const { return mConnections.size(); }
+  // The database takes no connection, and none stands.
+  bool IsShutOut() const { return mIsRefused && mConnections.empty(); }
   // When a new want would get a connection, judged by the ones served so far.
   Duration ExpectedWait(const std::string& aOrganisation) const;
 
@@ -126,6 +128,8 @@
   // By priority, then in order of arrival.
   Waiters mWaiters;
   TimePoint mOpenAgainAt{};
+  // The last one could not be opened.
+  bool mIsRefused = false;
   // How long connections are held, a moving average.
   Duration mHold = milliseconds(40);
 };
--- a/include/sesameway/Shares.h
+++ b/include/sesameway/Shares.h
@@ -154,6 +154,8 @@
   void UseFormerIfAllowed();
   void StopUsing(const SlotTable& aWanted);
   Duration ReadInterval() const;
+  // Whether it has far less than an even share.
+  bool LacksSlots() const;
 
   std::string mName;
   std::string mZone;
@@ -185,6 +187,7 @@
   // Slots of a hand-back that may still take effect, and the version it depends on.
   std::map<std::uint32_t, std::uint64_t> mHandedBack;
   std::vector<SlotHolder> mFellows;
+  bool mEntersFellows = false;
   std::map<std::string, TimePoint> mAbsentSince;
   std::map<std::string, Sight> mMarkSeen;
 };
--- a/src/core/ConnectionPlan.cpp
+++ b/src/core/ConnectionPlan.cpp
@@ -19,6 +19,9 @@
 // a place that another daemon could have.
 constexpr std::size_t kScarce = 2;
 constexpr Duration kScarceIdleLimit = seconds(1);
+// Of a database that takes no connections: those of others are given up after seconds,
+// so that reads had better go elsewhere.
+constexpr Duration kShutOutWait = milliseconds(400);
 // Weight of the newest hold in the moving average: 1/8.
 constexpr int kHoldShift = 3;
 
@@ -70,6 +73,7 @@
 {
   Actions actions;
   auto it = mConnections.find(aConnection);
+  mIsRefused = false;
   if (it != mConnections.end()) {
     it->second.mState = State::Idle;
     it->second.mSince = aNow;
@@ -85,6 +89,7 @@
   Actions actions;
   mConnections.erase(aConnection);
   mOpenAgainAt = std::max(mOpenAgainAt, aRetryAt);
+  mIsRefused = true;
   Settle(aNow, actions);
   return actions;
 }
@@ -195,6 +200,9 @@
 // that could be given up, count as ahead of the new one.
 Duration ConnectionPlan::ExpectedWait(const std::string& aOrganisation) const
 {
+  if (IsShutOut()) {
+    return kShutOutWait;
+  }
   if (FindIdle(aOrganisation) != 0 || mConnections.size() < mLimit ||
       FindIdleLongest() != 0) {
     return Duration::zero();
--- a/src/core/Shares.cpp
+++ b/src/core/Shares.cpp
@@ -34,7 +34,7 @@
 constexpr Duration kEntryTurn = milliseconds(20);
 // The same where daemons have started again, which use their former floor slots
 // meanwhile: a read and a write.
-constexpr Duration kReentryTurn = milliseconds(100);
+constexpr Duration kReentryTurn = milliseconds(200);
 
 std::uint64_t HashOf(std::string_view aText, std::uint64_t aSeed)
 {
@@ -529,12 +529,13 @@
 void ShareLedger::SetFellows(std::vector<SlotHolder> aFellows)
 {
   mFellows = std::move(aFellows);
+  mEntersFellows = true;
 }
 
 // Once, and a fellow's write may have done what this one would have done.
 void ShareLedger::WaitForFellows(bool aHasEntry, TimePoint aNow)
 {
-  if (mHasWaited || mFellows.empty()) {
+  if (mHasWaited || !mEntersFellows) {
     return;
   }
   mHasWaited = true;
@@ -565,9 +566,18 @@
   mWantsRead = true;
 }
 
-// The whole fleet's reads stay at kReadsPerSecond as it grows.
+bool ShareLedger::LacksSlots() const
+{
+  return mUsable.size() * mTable.mHolders.size() * 2 < kSlots;
+}
+
+// The whole fleet's reads stay at kReadsPerSecond as it grows, but for those that wait
+// for others to hand back what they have too much of.
 Duration ShareLedger::ReadInterval() const
 {
+  if (mEntersFellows && LacksSlots()) {
+    return kMinTableReadInterval;
+  }
   auto holders = static_cast<std::int64_t>(mTable.mHolders.size());
   return std::clamp<Duration>(
     seconds(holders) / kReadsPerSecond, kMinTableReadInterval, kMaxTableReadInterval);
--- a/src/proxy/CallerRun.cpp
+++ b/src/proxy/CallerRun.cpp
@@ -17,8 +17,8 @@
 // Before it is sent again; doubled each time, up to the limit below.
 constexpr Duration kRetryPause = milliseconds(15);
 constexpr Duration kLongestRetryPause = milliseconds(120);
-// A busy group is asked again until the route's time is nearly over.
-constexpr int kMaxSends = 14;
+// More would keep a busy group busy.
+constexpr int kMaxSends = 6;
 // Of a read that failed: once at each other database of a group of three.
 constexpr int kMostFailures = 2;
 // About as long as slow answers take in a busy group.
--- a/src/proxy/DatabasePool.cpp
+++ b/src/proxy/DatabasePool.cpp
@@ -103,12 +103,13 @@
   }
 }
 
-// What a well database says for a reason is no failure.
+// What a well database says for a reason is no failure. Nor is being busy: its reads
+// would crowd at the others, which would be busy next.
 void DatabasePool::OnResult(ReplyCode aCode)
 {
   auto now = Clock::now();
   bool isBad = aCode == ReplyCode::Lost || aCode == ReplyCode::Failed ||
-               aCode == ReplyCode::TimedOut || aCode == ReplyCode::Busy;
+               aCode == ReplyCode::TimedOut;
   bool wasEjected = mHealth.IsEjected(now);
   mHealth.OnResult(!isBad, now);
   if (!wasEjected && mHealth.IsEjected(now)) {
@@ -216,7 +217,7 @@
       std::min(kFullPause * (1 << std::min(mRefusals++, kMaxDoublings)), kOpenPause);
   }
   Do(mPlan.OnOpenFailed(aConnection, now + pause, now));
-  if (!isFull) {
+  if (!isFull || mPlan.IsShutOut()) {
     // They may find another database.
     Do(mPlan.RefuseAll(now + kOpenPause));
   }
--- a/test/core/ConnectionPlanTest.cpp
+++ b/test/core/ConnectionPlanTest.cpp
@@ -128,6 +128,7 @@
   CPPUNIT_TEST(ALowerLimitGivesIdleConnectionsUp);
   CPPUNIT_TEST(HoldsInAnyOrderOfEvents);
   CPPUNIT_TEST(IdleConnectionIsGivenUpWhereTheyAreScarce);
+  CPPUNIT_TEST(DatabaseThatTakesNoConnectionsIsExpectedToBeSlow);
   CPPUNIT_TEST_SUITE_END();
 
   static ConnectionPlan::Want Wanted(std::uint64_t aTicket,
@@ -310,6 +311,23 @@
       CPPUNIT_ASSERT_EQUAL(std::size_t{ isScarce ? 0U : 1U }, plan.Connections());
     }
   }
+
+  // Load: after a power loss a database still counts the connections of the former
+  // processes for seconds; reads waited there until their time was over (soak, seed
+  // 101).
+  void DatabaseThatTakesNoConnectionsIsExpectedToBeSlow()
+  {
+    ConnectionPlan plan(4);
+    auto opened = Only<ConnectionPlan::Open>(
+      plan.Add({ 1, "acme", 0, kStart + seconds(1) }, kStart));
+    plan.OnOpenFailed(opened.front().mConnection, kStart + milliseconds(40), kStart);
+    CPPUNIT_ASSERT(plan.IsShutOut());
+    CPPUNIT_ASSERT(plan.ExpectedWait("beta") >= milliseconds(300));
+    opened = Only<ConnectionPlan::Open>(plan.OnTick(kStart + milliseconds(40)));
+    plan.OnOpened(opened.front().mConnection, kStart + milliseconds(50));
+    CPPUNIT_ASSERT(!plan.IsShutOut());
+    CPPUNIT_ASSERT(plan.ExpectedWait("beta") == Duration::zero());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConnectionPlanTest);
