Statements log by which change of primary they ran, orders whom they waited out, groups their state

The incident's hypotheses could not be told apart: a statement's line did not say whether its database was used as the primary, by which change, and whether the answer was confirmed; the order did not say which daemons had not stood down; and the lines on a change of primary are pushed out of a short log by statements' lines.

Now: primary, change and confirmed in the statement's line; stood_down and waited_out in order_promotion; contact_age_ms in group_record; group_state for each group each 10 s. No decision is changed: Lease::mChange is only written. PromotionTest, LeadershipTest, proxy_tests: passed.

--- a/include/sesameway/Promotion.h
+++ b/include/sesameway/Promotion.h
@@ -55,6 +55,9 @@
   struct OrderPromotion
   {
     std::string mDatabase;
+    // The daemons that have stood down, and those whose contact has run out instead.
+    std::size_t mStoodDown = 0;
+    std::vector<std::string> mWaitedOut;
   };
   struct OrderDemotion
   {
@@ -161,6 +164,7 @@
   std::string ChooseTarget(const GroupRecord& aRecord,
                            const Surroundings& aAround,
                            TimePoint aNow) const;
+  std::vector<std::string> NotStoodDown(const Surroundings& aAround) const;
   bool FinishIfTaken(const GroupRecord& aRecord,
                      std::uint64_t aRevision,
                      const Surroundings& aAround,
--- a/src/core/Promotion.cpp
+++ b/src/core/Promotion.cpp
@@ -259,7 +259,19 @@
   mOrdered = target;
   mOrderedAt = aNow;
   mIsOrderRefused = false;
-  aActions.emplace_back(OrderPromotion{ target });
+  aActions.emplace_back(
+    OrderPromotion{ target, mStoodDown.size(), NotStoodDown(aAround) });
+}
+
+std::vector<std::string> PromotionPlan::NotStoodDown(const Surroundings& aAround) const
+{
+  std::vector<std::string> left;
+  for (const auto& it : aAround.mDaemons) {
+    if (mStoodDown.count(it) == 0) {
+      left.push_back(it);
+    }
+  }
+  return left;
 }
 
 bool PromotionPlan::IsClosed(const GroupRecord& aRecord,
@@ -272,12 +284,7 @@
   if (aNow - mChangingSince > kContactLimit + kContactMargin) {
     return true;
   }
-  AskStandDown ask{ aRecord.mChange, {} };
-  for (const auto& it : aAround.mDaemons) {
-    if (mStoodDown.count(it) == 0) {
-      ask.mDaemons.push_back(it);
-    }
-  }
+  AskStandDown ask{ aRecord.mChange, NotStoodDown(aAround) };
   // One that came just before the record may not be known yet.
   bool areAllKnown = aAround.mRevision >= aRevision;
   if (ask.mDaemons.empty()) {
--- a/src/proxy/Backend.h
+++ b/src/proxy/Backend.h
@@ -18,6 +18,8 @@
   std::string mDatabase;
   std::string mGroup;
   bool mIsPrimary = false;
+  // The group's change of primary that was known when the database was chosen.
+  std::uint64_t mChange = 0;
   DatabaseLinkPtr mLink;
   std::shared_ptr<ConnectionContents> mContents;
 };
--- a/src/proxy/CallerRun.cpp
+++ b/src/proxy/CallerRun.cpp
@@ -377,6 +377,8 @@
   auto& attempt = *mAttempt;
   attempt.mSentAt = mHost.Now();
   attempt.mDatabase = mLease->mDatabase;
+  attempt.mIsAtPrimary = mLease->mIsPrimary;
+  attempt.mChange = mLease->mChange;
   ++attempt.mSends;
   if (mTransaction == TransactionState::Open && !mHasBegun) {
     SendBegin();
@@ -555,6 +557,7 @@
         return;
       }
       if (aIsConfirmed) {
+        self->mAttempt->mIsConfirmed = true;
         self->Deliver(reply);
       } else {
         self->OnUnconfirmed();
@@ -760,6 +763,9 @@
     .With("took_ms", Millis(aTook));
   if (!aAttempt.mDatabase.empty()) {
     line.With("database", aAttempt.mDatabase)
+      .With("primary", aAttempt.mIsAtPrimary)
+      .With("change", aAttempt.mChange)
+      .With("confirmed", aAttempt.mIsConfirmed)
       .With("sends", aAttempt.mSends)
       .With("sent_after_ms", Millis(aAttempt.mSentAt - aAttempt.mReceivedAt))
       .With("read_after", TextOf(aAttempt.mAfter))
--- a/src/proxy/CallerRun.h
+++ b/src/proxy/CallerRun.h
@@ -33,10 +33,14 @@
   std::set<std::string> mAvoid;
   // Those whose logs were too short.
   std::set<std::string> mTooOld;
-  // For the log: why the last try failed, where it was sent last, how fresh that
-  // database had to be.
+  // For the log: why the last try failed, where it was sent last, by which change of
+  // primary, whether others were asked about the answer, how fresh the database had to
+  // be.
   std::string mCause;
   std::string mDatabase;
+  bool mIsAtPrimary = false;
+  std::uint64_t mChange = 0;
+  bool mIsConfirmed = false;
   std::optional<LogPosition> mAfter;
 };
 
--- a/src/proxy/CoordinatorRun.cpp
+++ b/src/proxy/CoordinatorRun.cpp
@@ -13,6 +13,15 @@
 constexpr Duration kStandDownTimeout = milliseconds(900);
 constexpr Duration kOrderTimeout = milliseconds(2000);
 
+std::string Joined(const std::vector<std::string>& aNames)
+{
+  std::string text;
+  for (const auto& it : aNames) {
+    text += (text.empty() ? "" : ",") + it;
+  }
+  return text.empty() ? "-" : text;
+}
+
 } // namespace
 
 CoordinatorRun::CoordinatorRun(Parts aParts,
@@ -282,6 +291,8 @@
   LOG(INFO) << daemon::Line("order_promotion")
                  .With("group", aGroup)
                  .With("database", aAction.mDatabase)
+                 .With("stood_down", aAction.mStoodDown)
+                 .With("waited_out", Joined(aAction.mWaitedOut))
                  .With("fence", fence);
   auto onDone =
     [self = shared_from_this(), aGroup, aAction](std::optional<bool> aIsTaken) {
--- a/src/proxy/DatabaseFleet.cpp
+++ b/src/proxy/DatabaseFleet.cpp
@@ -28,6 +28,11 @@
 constexpr Duration kRoundTimeout = milliseconds(500);
 constexpr Duration kRoundPause = milliseconds(400);
 
+std::int64_t Millis(Duration aDuration)
+{
+  return std::chrono::duration_cast<milliseconds>(aDuration).count();
+}
+
 } // namespace
 
 DatabaseFleet::DatabaseFleet(Loop& aLoop,
@@ -102,7 +107,8 @@
                  .With("change", aRecord.mChange)
                  .With("term", aRecord.mTerm)
                  .With("primary", aRecord.mPrimary)
-                 .With("revision", aRevision);
+                 .With("revision", aRevision)
+                 .With("contact_age_ms", Millis(Clock::now() - mContact));
   Tick();
 }
 
@@ -179,6 +185,24 @@
   }
 }
 
+void DatabaseFleet::LogGroups() const
+{
+  auto now = Clock::now();
+  for (const auto& it : mGroups) {
+    const auto& leadership = it.second.mLeadership;
+    const auto& record = leadership.Record();
+    LOG(INFO) << daemon::Line("group_state")
+                   .With("group", it.first)
+                   .With("phase", kGroupPhaseNames.Name(record.mPhase))
+                   .With("change", record.mChange)
+                   .With("term", record.mTerm)
+                   .With("primary", record.mPrimary)
+                   .With("revision", leadership.Revision())
+                   .With("usable", leadership.MayUse(mContact, now))
+                   .With("contact_age_ms", Millis(now - mContact));
+  }
+}
+
 std::set<std::string> DatabaseFleet::Groups() const
 {
   std::set<std::string> groups;
@@ -506,29 +530,31 @@
     return;
   }
   pending.mDatabase = aPool->Listed().mName;
-  aPool->Acquire(aTicket,
-                 pending.mNeed,
-                 [this, aTicket, aIsPrimary](tl::expected<LeasePtr, Refusal> aLease) {
-                   auto it = mPending.find(aTicket);
-                   if (it == mPending.end()) {
-                     return;
-                   }
-                   const auto& need = it->second.mNeed;
-                   bool isBlocked =
-                     aIsPrimary && !MayTryPrimary(need.mGroup, Clock::now());
-                   if (aLease && isBlocked) {
-                     Release(*aLease, false);
-                   }
-                   if (!aLease || isBlocked) {
-                     // Another database may do, or the same one a little later.
-                     it->second.mNeed.mAvoid.insert(it->second.mDatabase);
-                     it->second.mDatabase.clear();
-                     return;
-                   }
-                   (*aLease)->mIsPrimary = aIsPrimary;
-                   auto node = mPending.extract(it);
-                   node.mapped().mDone(std::move(aLease));
-                 });
+  auto change = mGroups[pending.mNeed.mGroup].mLeadership.Record().mChange;
+  aPool->Acquire(
+    aTicket,
+    pending.mNeed,
+    [this, aTicket, aIsPrimary, change](tl::expected<LeasePtr, Refusal> aLease) {
+      auto it = mPending.find(aTicket);
+      if (it == mPending.end()) {
+        return;
+      }
+      const auto& need = it->second.mNeed;
+      bool isBlocked = aIsPrimary && !MayTryPrimary(need.mGroup, Clock::now());
+      if (aLease && isBlocked) {
+        Release(*aLease, false);
+      }
+      if (!aLease || isBlocked) {
+        // Another database may do, or the same one a little later.
+        it->second.mNeed.mAvoid.insert(it->second.mDatabase);
+        it->second.mDatabase.clear();
+        return;
+      }
+      (*aLease)->mIsPrimary = aIsPrimary;
+      (*aLease)->mChange = change;
+      auto node = mPending.extract(it);
+      node.mapped().mDone(std::move(aLease));
+    });
 }
 
 void DatabaseFleet::Refuse(std::uint64_t aTicket,
--- a/src/proxy/DatabaseFleet.h
+++ b/src/proxy/DatabaseFleet.h
@@ -52,6 +52,8 @@
                  std::function<void()> aDone);
   // Every 50 ms or so.
   void Tick();
+  // A line for each group on the primary that it is taken to have.
+  void LogGroups() const;
 
   std::vector<const ListedDatabase*> OfGroup(const std::string& aGroup) const
   {
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -167,6 +167,7 @@
     }
   }
   LOG(INFO) << line;
+  mFleet.LogGroups();
 }
 
 void Proxy::OnChange(const StoredObject& aObject)
