Failing tests: a replaced primary is used and believed, over the real fleet, pool and session

Three ways to use a replaced primary (a statement or read that waited for its connection, a transaction held through the change, an answer under way), a confirmation that spans a change, and two more that the search for the same cause found: standing down misses connections of an earlier entry of the database, and such a connection is given back under a number that the new entry's connections use too, so that two sessions share one.

--- /dev/null
+++ b/test/proxy/FakeDatabases.h
@@ -0,0 +1,173 @@
+#pragma once
+
+#include "FakeBackend.h"
+#include "proxy/DatabaseFleet.h"
+
+#include <algorithm>
+#include <deque>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace sesameway::test {
+
+// Databases whose connections open when the test says so.
+class FakeDatabases : public proxy::Databases
+{
+public:
+  struct Opening
+  {
+    proxy::LinkTarget mTarget;
+    Opened mDone;
+  };
+
+  void Open(const proxy::LinkTarget& aTarget, TimePoint, Opened aDone) override
+  {
+    mOpenings.push_back({ aTarget, std::move(aDone) });
+  }
+
+  bool IsOpening(const std::string& aDatabase) const
+  {
+    return std::any_of(mOpenings.begin(), mOpenings.end(), [&](const auto& aIt) {
+      return aIt.mTarget.mDatabase == aDatabase;
+    });
+  }
+  // The oldest one that is being opened there.
+  std::shared_ptr<FakeLink> Accept(const std::string& aDatabase)
+  {
+    auto it = std::find_if(mOpenings.begin(), mOpenings.end(), [&](const auto& aIt) {
+      return aIt.mTarget.mDatabase == aDatabase;
+    });
+    if (it == mOpenings.end()) {
+      return nullptr;
+    }
+    auto opening = std::move(*it);
+    mOpenings.erase(it);
+    auto link = std::make_shared<FakeLink>();
+    mLinks.emplace_back(aDatabase, link);
+    opening.mDone(proxy::DatabaseLinkPtr(link));
+    return link;
+  }
+
+  std::deque<Opening> mOpenings;
+  std::vector<std::pair<std::string, std::shared_ptr<FakeLink>>> mLinks;
+};
+
+// One daemon's databases, a group "g" of three of them, and what the store says.
+class FleetWorld
+{
+public:
+  FleetWorld()
+    : mFleet(mLoop, mDatabases, Settings(), [this](const std::string& aRow) {
+      return ReadStatus(aRow);
+    })
+  {
+    auto catalogue = std::make_shared<Catalogue>(*mHost.mCatalogue);
+    catalogue->mServices["s"] = { "s", {}, { { "g", {}, 3, 22 } } };
+    mHost.mCatalogue = catalogue;
+    mFleet.SetCatalogue(catalogue);
+    for (const char* it : { "old", "new", "third" }) {
+      List(it);
+    }
+    mFleet.SetContact(Clock::now());
+    Record(GroupPhase::Serving, 1, 1, "old");
+  }
+  virtual ~FleetWorld() = default;
+
+  void List(const std::string& aName, const std::string& aAddress = "10.0.0.1:1")
+  {
+    mFleet.OnListed({ aName, "g", "z", aAddress, 3, false, DatabaseRole::Unknown, 0 });
+  }
+  void Record(GroupPhase aPhase,
+              std::uint64_t aChange,
+              std::uint64_t aTerm,
+              const std::string& aPrimary)
+  {
+    mFleet.OnRecord({ "g", aPhase, aChange, aTerm, aPrimary, {} }, ++mRevision);
+  }
+  // The whole of a change of primary as the store shows it.
+  void ReplacePrimary(const std::string& aPrimary)
+  {
+    auto change = mFleet.FindLeadership("g")->Record().mChange + 1;
+    Record(GroupPhase::Changing, change, change - 1, "old");
+    Record(GroupPhase::Serving, change, change, aPrimary);
+    mFleet.SetContact(Clock::now());
+  }
+  bool StandDown(std::uint64_t aChange)
+  {
+    auto isDone = std::make_shared<bool>(false);
+    mFleet.StandDown("g", aChange, [isDone] { *isDone = true; });
+    mStandingDown = isDone;
+    return *isDone;
+  }
+  // Runs timers that are due within this time.
+  void RunFor(Duration aTime)
+  {
+    auto work = boost::asio::make_work_guard(mLoop.Io());
+    mLoop.Io().restart();
+    mLoop.Io().run_for(aTime);
+  }
+
+  std::shared_ptr<proxy::CallerRun> Connect(const std::string& aRoute)
+  {
+    mStream = std::make_shared<FakeStream>();
+    auto session = std::make_shared<proxy::CallerRun>(mStream, mHost, mFleet);
+    session->OnConnect(aRoute, "key");
+    return session;
+  }
+  void Ask(proxy::CallerRun& aSession, proxy::RequestKind aKind, const char* aText = "")
+  {
+    proxy::CallerRequest request;
+    request.mKind = aKind;
+    request.mId = "r" + std::to_string(++mRequests);
+    request.mText = aText;
+    aSession.OnRequest(std::move(request));
+  }
+  // Of the session that was connected last.
+  std::string LastCode() const
+  {
+    return mStream->mAnswers.empty()
+             ? std::string("none")
+             : std::string(kReplyCodeNames.Name(mStream->mAnswers.back().mCode));
+  }
+
+  static ConnectionReply Done(TransactionState aState = TransactionState::None)
+  {
+    ConnectionReply reply;
+    reply.mCode = ReplyCode::Done;
+    reply.mTransaction = aState;
+    reply.mPosition = LogPosition{ 1, 57 };
+    return reply;
+  }
+  static ConnectionReply Status(const std::string& aRow)
+  {
+    auto reply = Done();
+    reply.mRows.push_back(aRow);
+    return reply;
+  }
+
+  proxy::Loop mLoop;
+  FakeDatabases mDatabases;
+  FakeHost mHost;
+  proxy::DatabaseFleet mFleet;
+  std::shared_ptr<FakeStream> mStream;
+  std::shared_ptr<bool> mStandingDown;
+  std::uint64_t mRevision = 0;
+  int mRequests = 0;
+
+private:
+  using Settings = proxy::Settings;
+  // "ROLE TERM".
+  static std::optional<DatabaseReport> ReadStatus(const std::string& aRow)
+  {
+    auto blank = aRow.find(' ');
+    DatabaseReport report;
+    report.mRole =
+      kDatabaseRoleNames.Find(aRow.substr(0, blank)).value_or(DatabaseRole::Unknown);
+    report.mTerm = std::stoull(aRow.substr(blank + 1));
+    return report;
+  }
+};
+
+} // namespace sesameway::test
