What is granted at a primary ends with its change: leases, waiting statements, answers, confirmations

Cause: permission was asked of the group, not of the change of primary under which something had been granted. DatabaseFleet::PlaceAt asked, when a pool granted a connection, only whether the group's primary might be used, and CallerRun::OnDone only the same before it gave an answer. So a statement that waited for a connection to the old primary while the group was changed (it is not busy, so that standing down did not find it) got one after the change, ran there as "at the primary", and its answer went out without a confirmation. The same for a transaction whose daemon was not reached to stand down and read "serving, new" from the store, for an answer under way, and for a round of confirmation that spanned a change.

Now: a lease carries its change, Leadership::IsInForce compares it at each send and each answer; statements that wait at a replaced primary are placed anew at once; what is still open there when the change is over is broken off; a round counts only for the change that it was asked in.

--- a/include/sesameway/Leadership.h
+++ b/include/sesameway/Leadership.h
@@ -64,6 +64,10 @@
   // Whether statements may be sent to the primary, and its answers believed, given when
   // it was last known that no change had been recorded.
   bool MayUse(TimePoint aContact, TimePoint aNow) const;
+  // Whether the database is the primary by this change, and no later one has begun.
+  // What was granted at a primary holds no longer than that, whoever the primary is by
+  // then.
+  bool IsInForce(std::string_view aDatabase, std::uint64_t aChange) const;
   // Whether a change is under way, so that waiting a little is worth while.
   bool IsChanging() const;
   const GroupRecord& Record() const { return mRecord; }
--- a/src/core/Leadership.cpp
+++ b/src/core/Leadership.cpp
@@ -99,6 +99,11 @@
   return mRevision != 0 && !IsChanging() && aNow < aContact + kContactLimit;
 }
 
+bool Leadership::IsInForce(std::string_view aDatabase, std::uint64_t aChange) const
+{
+  return !IsChanging() && mRecord.mPrimary == aDatabase && mRecord.mChange == aChange;
+}
+
 bool Leadership::IsChanging() const
 {
   return mRecord.mPhase == GroupPhase::Changing || mRecord.mChange < mStoodDown;
--- a/src/proxy/Backend.h
+++ b/src/proxy/Backend.h
@@ -18,7 +18,7 @@
   std::string mDatabase;
   std::string mGroup;
   bool mIsPrimary = false;
-  // The group's change of primary that was known when the database was chosen.
+  // The change by which the database was the primary when it was chosen.
   std::uint64_t mChange = 0;
   DatabaseLinkPtr mLink;
   std::shared_ptr<ConnectionContents> mContents;
@@ -63,11 +63,13 @@
   virtual void Drop(std::uint64_t aTicket) = 0;
   // A broken one is closed.
   virtual void Release(const LeasePtr& aLease, bool aIsBroken) = 0;
-  // Whether answers of the group's primary may be believed now.
-  virtual bool MayUsePrimary(const std::string& aGroup) const = 0;
-  // Asks the group's other databases, after `aSince`, whether one has taken over. True:
-  // none had, so that answers of the primary that came before hold.
-  virtual void Confirm(const std::string& aGroup,
+  // Whether statements may be sent on the lease: a primary's ends with its change.
+  virtual bool IsInForce(const Lease& aLease) const = 0;
+  // Whether answers on the lease may be believed now, without Confirm.
+  virtual bool MayBelieve(const Lease& aLease) const = 0;
+  // Asks the other databases of a primary's group, after `aSince`, whether one has
+  // taken over. True: none had, so that answers on the lease that came before hold.
+  virtual void Confirm(const Lease& aLease,
                        TimePoint aSince,
                        std::function<void(bool)> aDone) = 0;
   // What a replica's log must hold for data that is fresh since then; none if that is
--- a/src/proxy/CallerRun.cpp
+++ b/src/proxy/CallerRun.cpp
@@ -374,6 +374,10 @@
 
 void CallerRun::Send()
 {
+  if (!mBackend.IsInForce(*mLease)) {
+    OnReplaced();
+    return;
+  }
   auto& attempt = *mAttempt;
   attempt.mSentAt = mHost.Now();
   attempt.mDatabase = mLease->mDatabase;
@@ -399,10 +403,12 @@
   commands.push_back(std::move(begin));
   mHasBegun = true;
   SendBatch(std::move(commands), [this](ConnectionReply aReply) {
-    if (aReply.mCode == ReplyCode::Done) {
+    if (aReply.mCode != ReplyCode::Done) {
+      OnOutcome(std::move(aReply));
+    } else if (mBackend.IsInForce(*mLease)) {
       SendStatement();
     } else {
-      OnOutcome(std::move(aReply));
+      OnReplaced();
     }
   });
 }
@@ -543,13 +549,13 @@
 // statement. The others tell whether that is so.
 void CallerRun::OnDone(ConnectionReply aReply)
 {
-  if (!mLease->mIsPrimary || mBackend.MayUsePrimary(mLease->mGroup)) {
+  if (mBackend.MayBelieve(*mLease)) {
     Deliver(std::move(aReply));
     return;
   }
   mIsConfirming = true;
   mBackend.Confirm(
-    mLease->mGroup,
+    *mLease,
     mHost.Now(),
     [self = shared_from_this(), number = mAttempt->mNumber, reply = std::move(aReply)](
       bool aIsConfirmed) {
@@ -582,6 +588,14 @@
   RetryOrFail(ReplyCode::Aborted, "primary_not_confirmed");
 }
 
+// The lease's database is not the primary by now. Nothing of the request has been sent
+// on it.
+void CallerRun::OnReplaced()
+{
+  GiveBack(true);
+  RetryOrFail(ReplyCode::Aborted, "primary_replaced");
+}
+
 void CallerRun::Deliver(ConnectionReply aReply)
 {
   auto& attempt = *mAttempt;
--- a/src/proxy/CallerRun.h
+++ b/src/proxy/CallerRun.h
@@ -99,6 +99,7 @@
   void Deliver(ConnectionReply aReply);
   void NoteEffect();
   void OnUnconfirmed();
+  void OnReplaced();
   void OnNotRun(ConnectionReply aReply);
   bool MayRunAgain() const;
   void OnFailedRead();
--- a/src/proxy/DatabaseFleet.cpp
+++ b/src/proxy/DatabaseFleet.cpp
@@ -33,6 +33,13 @@
   return std::chrono::duration_cast<milliseconds>(aDuration).count();
 }
 
+void CloseAll(const std::vector<LeasePtr>& aLeases)
+{
+  for (const auto& it : aLeases) {
+    it->mLink->Close();
+  }
+}
+
 } // namespace
 
 DatabaseFleet::DatabaseFleet(Loop& aLoop,
@@ -109,44 +116,115 @@
                  .With("primary", aRecord.mPrimary)
                  .With("revision", aRevision)
                  .With("contact_age_ms", Millis(Clock::now() - mContact));
+  OnChange(aRecord);
   Tick();
 }
 
+void DatabaseFleet::OnChange(const GroupRecord& aRecord)
+{
+  LeaveReplaced(aRecord.mGroup);
+  auto leases = Replaced(aRecord.mGroup);
+  // While the change is under way, standing down gives them some time.
+  bool isOver = !mGroups[aRecord.mGroup].mLeadership.IsChanging();
+  if (leases.empty() || !isOver) {
+    return;
+  }
+  LOG(INFO) << daemon::Line("primary_replaced")
+                 .With("group", aRecord.mGroup)
+                 .With("change", aRecord.mChange)
+                 .With("primary", aRecord.mPrimary)
+                 .With("broken_off", leases.size());
+  CloseAll(leases);
+}
+
 void DatabaseFleet::SetContact(TimePoint aContact)
 {
   mContact = std::max(mContact, aContact);
 }
 
+// Statements that are under way at the primary of a group that is to be changed.
+struct DatabaseFleet::Ending
+{
+  std::string mGroup;
+  std::uint64_t mChange = 0;
+  // When they are broken off.
+  TimePoint mUntil;
+  std::function<void()> mDone;
+  Timer mPoll;
+
+  Ending(std::string aGroup,
+         std::uint64_t aChange,
+         TimePoint aUntil,
+         std::function<void()> aDone,
+         Loop& aLoop)
+    : mGroup(std::move(aGroup))
+    , mChange(aChange)
+    , mUntil(aUntil)
+    , mDone(std::move(aDone))
+    , mPoll(aLoop)
+  {
+  }
+};
+
 void DatabaseFleet::StandDown(const std::string& aGroup,
                               std::uint64_t aChange,
                               std::function<void()> aDone)
 {
-  auto& leadership = mGroups[aGroup].mLeadership;
-  leadership.StandDown(aChange);
-  auto until = Clock::now() + kStandDownGrace;
-  auto timer = std::make_shared<Timer>(mLoop);
-  auto poll = std::make_shared<std::function<void()>>();
-  *poll = [this, aGroup, aChange, until, timer, poll, done = std::move(aDone)] {
-    auto busy = BusyAtPrimary(aGroup);
-    if (busy > 0 && Clock::now() < until) {
-      timer->Set(Clock::now() + kStandDownPoll, *poll);
-      return;
+  mGroups[aGroup].mLeadership.StandDown(aChange);
+  LeaveReplaced(aGroup);
+  PollEnding(std::make_shared<Ending>(
+    aGroup, aChange, Clock::now() + kStandDownGrace, std::move(aDone), mLoop));
+}
+
+void DatabaseFleet::PollEnding(const std::shared_ptr<Ending>& aEnding)
+{
+  auto leases = Replaced(aEnding->mGroup);
+  if (!leases.empty() && Clock::now() < aEnding->mUntil) {
+    aEnding->mPoll.Set(Clock::now() + kStandDownPoll,
+                       [this, aEnding] { PollEnding(aEnding); });
+    return;
+  }
+  CloseAll(leases);
+  LOG(INFO) << daemon::Line("stood_down")
+                 .With("group", aEnding->mGroup)
+                 .With("change", aEnding->mChange)
+                 .With("broken_off", leases.size());
+  aEnding->mDone();
+}
+
+bool DatabaseFleet::IsReplaced(const Pending& aPending) const
+{
+  const auto* leadership = FindLeadership(aPending.mNeed.mGroup);
+  return aPending.mIsAtPrimary &&
+         !leadership->IsInForce(aPending.mDatabase, aPending.mChange);
+}
+
+void DatabaseFleet::LeaveReplaced(const std::string& aGroup)
+{
+  for (auto& it : mPending) {
+    auto& pending = it.second;
+    bool isPlaced = pending.mNeed.mGroup == aGroup && !pending.mDatabase.empty();
+    if (!isPlaced || !IsReplaced(pending)) {
+      continue;
     }
-    auto pool = FindPool(mGroups[aGroup].mLeadership.Record().mPrimary);
-    if (busy > 0 && pool) {
-      pool->CloseBusy();
+    if (auto pool = FindPool(pending.mDatabase)) {
+      pool->Drop(it.first);
     }
-    LOG(INFO) << daemon::Line("stood_down")
-                   .With("group", aGroup)
-                   .With("change", aChange)
-                   .With("broken_off", busy);
-    auto finish = done;
-    // The function holds itself.
-    *poll = nullptr;
-    finish();
-  };
-  auto begin = *poll;
-  begin();
+    pending.mDatabase.clear();
+  }
+}
+
+std::vector<LeasePtr> DatabaseFleet::Replaced(const std::string& aGroup) const
+{
+  std::vector<LeasePtr> replaced;
+  for (const auto& it : mPools) {
+    for (auto& lease : it.second->Leases()) {
+      if (lease->mGroup == aGroup && !IsInForce(*lease)) {
+        replaced.push_back(std::move(lease));
+      }
+    }
+  }
+  return replaced;
 }
 
 void DatabaseFleet::ForgetMissing(TimePoint aNow)
@@ -272,6 +350,21 @@
   return leadership != nullptr && leadership->MayUse(mContact, Clock::now());
 }
 
+bool DatabaseFleet::IsInForce(const Lease& aLease) const
+{
+  if (!aLease.mIsPrimary) {
+    return true;
+  }
+  const auto* leadership = FindLeadership(aLease.mGroup);
+  return leadership != nullptr &&
+         leadership->IsInForce(aLease.mDatabase, aLease.mChange);
+}
+
+bool DatabaseFleet::MayBelieve(const Lease& aLease) const
+{
+  return !aLease.mIsPrimary || (IsInForce(aLease) && MayUsePrimary(aLease.mGroup));
+}
+
 std::optional<LogPosition> DatabaseFleet::HeadSince(const std::string& aGroup,
                                                     TimePoint aSince) const
 {
@@ -352,12 +445,24 @@
   }
 }
 
-void DatabaseFleet::Confirm(const std::string& aGroup,
+void DatabaseFleet::Confirm(const Lease& aLease,
                             TimePoint aSince,
                             std::function<void(bool)> aDone)
+{
+  if (IsInForce(aLease)) {
+    ConfirmPrimary(aLease.mGroup, aSince, std::move(aDone));
+  } else {
+    aDone(false);
+  }
+}
+
+void DatabaseFleet::ConfirmPrimary(const std::string& aGroup,
+                                   TimePoint aSince,
+                                   std::function<void(bool)> aDone)
 {
   auto& group = mGroups[aGroup];
-  group.mConfirmations.push_back({ aSince, std::move(aDone) });
+  group.mConfirmations.push_back(
+    { group.mLeadership.Record().mChange, aSince, std::move(aDone) });
   if (!group.mRound) {
     StartRound(aGroup);
   }
@@ -382,6 +487,7 @@
   auto& group = mGroups[aName];
   auto now = Clock::now();
   auto round = std::make_shared<Round>();
+  round->mChange = group.mLeadership.Record().mChange;
   round->mSentAt = now;
   group.mRound = round;
   ConnectionCommand status;
@@ -427,13 +533,21 @@
   auto& group = mGroups[aName];
   group.mRound.reset();
   bool isChanging = group.mLeadership.IsChanging();
-  bool isConfirmed = !aRound->mHasFailed && !isChanging;
+  auto change = group.mLeadership.Record().mChange;
+  // Those of another change were asked about another primary.
+  bool isOfThisChange = !isChanging && aRound->mChange == change;
+  bool isConfirmed = !aRound->mHasFailed && isOfThisChange;
   if (!isConfirmed) {
-    group.mRoundFailedAt = Clock::now();
+    // A round about an earlier primary says nothing of this one.
+    if (aRound->mHasFailed || isChanging) {
+      group.mRoundFailedAt = Clock::now();
+    }
     group.mProposed.reset();
     LOG(INFO) << daemon::Line("primary_unconfirmed")
                    .With("group", aName)
                    .With("primary", group.mLeadership.Record().mPrimary)
+                   .With("asked_in_change", aRound->mChange)
+                   .With("change", change)
                    .With("changing", isChanging);
   } else if (group.mProposed && group.mProposed->mReceivedAt <= aRound->mSentAt) {
     group.mHeads.Observe(group.mProposed->mPosition, group.mProposed->mSentAt);
@@ -443,7 +557,9 @@
   std::vector<Confirmation> settled;
   std::vector<Confirmation> later;
   for (auto& it : group.mConfirmations) {
-    bool isSettled = !isConfirmed || it.mSince <= aRound->mSentAt;
+    bool isReplaced = isChanging || it.mChange != change;
+    bool isAsked = isOfThisChange && (!isConfirmed || it.mSince <= aRound->mSentAt);
+    bool isSettled = isReplaced || isAsked;
     (isSettled ? settled : later).push_back(std::move(it));
   }
   group.mConfirmations = std::move(later);
@@ -530,33 +646,40 @@
     return;
   }
   pending.mDatabase = aPool->Listed().mName;
-  auto change = mGroups[pending.mNeed.mGroup].mLeadership.Record().mChange;
+  pending.mIsAtPrimary = aIsPrimary;
+  pending.mChange = mGroups[pending.mNeed.mGroup].mLeadership.Record().mChange;
   aPool->Acquire(
-    aTicket,
-    pending.mNeed,
-    [this, aTicket, aIsPrimary, change](tl::expected<LeasePtr, Refusal> aLease) {
-      auto it = mPending.find(aTicket);
-      if (it == mPending.end()) {
-        return;
-      }
-      const auto& need = it->second.mNeed;
-      bool isBlocked = aIsPrimary && !MayTryPrimary(need.mGroup, Clock::now());
-      if (aLease && isBlocked) {
-        Release(*aLease, false);
-      }
-      if (!aLease || isBlocked) {
-        // Another database may do, or the same one a little later.
-        it->second.mNeed.mAvoid.insert(it->second.mDatabase);
-        it->second.mDatabase.clear();
-        return;
-      }
-      (*aLease)->mIsPrimary = aIsPrimary;
-      (*aLease)->mChange = change;
-      auto node = mPending.extract(it);
-      node.mapped().mDone(std::move(aLease));
+    aTicket, pending.mNeed, [this, aTicket](tl::expected<LeasePtr, Refusal> aLease) {
+      OnGranted(aTicket, std::move(aLease));
     });
 }
 
+void DatabaseFleet::OnGranted(std::uint64_t aTicket,
+                              tl::expected<LeasePtr, Refusal> aLease)
+{
+  auto it = mPending.find(aTicket);
+  if (it == mPending.end()) {
+    return;
+  }
+  auto& pending = it->second;
+  bool isBlocked =
+    pending.mIsAtPrimary &&
+    (IsReplaced(pending) || !MayTryPrimary(pending.mNeed.mGroup, Clock::now()));
+  if (aLease && isBlocked) {
+    Release(*aLease, false);
+  }
+  if (!aLease || isBlocked) {
+    // Another database may do, or the same one a little later.
+    pending.mNeed.mAvoid.insert(pending.mDatabase);
+    pending.mDatabase.clear();
+    return;
+  }
+  (*aLease)->mIsPrimary = pending.mIsAtPrimary;
+  (*aLease)->mChange = pending.mChange;
+  auto node = mPending.extract(it);
+  node.mapped().mDone(std::move(aLease));
+}
+
 void DatabaseFleet::Refuse(std::uint64_t aTicket,
                            const char* aReason,
                            TimePoint aRetryAt)
@@ -624,17 +747,10 @@
     }
     NoteHead(aName, database, *aReply, aNow);
     if (!MayUsePrimary(aName)) {
-      Confirm(aName, Clock::now(), [](bool) {});
+      ConfirmPrimary(aName, Clock::now(), [](bool) {});
     }
   };
   pool->Ask(status, aNow + kStatusTimeout, std::move(onReply));
 }
 
-std::size_t DatabaseFleet::BusyAtPrimary(const std::string& aGroup) const
-{
-  const auto* leadership = FindLeadership(aGroup);
-  auto pool = leadership == nullptr ? nullptr : FindPool(leadership->Record().mPrimary);
-  return pool ? pool->Busy() : 0;
-}
-
 } // namespace sesameway::proxy
--- a/src/proxy/DatabaseFleet.h
+++ b/src/proxy/DatabaseFleet.h
@@ -72,8 +72,9 @@
   std::uint64_t Acquire(const LeaseNeed& aNeed, LeaseDone aDone) override;
   void Drop(std::uint64_t aTicket) override;
   void Release(const LeasePtr& aLease, bool aIsBroken) override;
-  bool MayUsePrimary(const std::string& aGroup) const override;
-  void Confirm(const std::string& aGroup,
+  bool IsInForce(const Lease& aLease) const override;
+  bool MayBelieve(const Lease& aLease) const override;
+  void Confirm(const Lease& aLease,
                TimePoint aSince,
                std::function<void(bool)> aDone) override;
   std::optional<LogPosition> HeadSince(const std::string& aGroup,
@@ -89,6 +90,7 @@
   // A question to all databases of a group but its primary.
   struct Round
   {
+    std::uint64_t mChange = 0;
     TimePoint mSentAt{};
     std::size_t mOpen = 0;
     bool mHasFailed = false;
@@ -96,6 +98,8 @@
   using RoundPtr = std::shared_ptr<Round>;
   struct Confirmation
   {
+    // Of the primary that it is about.
+    std::uint64_t mChange = 0;
     TimePoint mSince;
     std::function<void(bool)> mDone;
   };
@@ -122,10 +126,30 @@
     LeaseDone mDone;
     // Where it waits; empty while it waits for a primary.
     std::string mDatabase;
+    // Whether it waits there because the database is the primary, by this change.
+    bool mIsAtPrimary = false;
+    std::uint64_t mChange = 0;
   };
 
+  // Whether the group's primary may be used, and its answers believed.
+  bool MayUsePrimary(const std::string& aGroup) const;
   // Whether statements may be sent to the primary, if their answers are confirmed.
   bool MayTryPrimary(const std::string& aGroup, TimePoint aNow) const;
+  struct Ending;
+  // Until they have ended, or their time is over.
+  void PollEnding(const std::shared_ptr<Ending>& aEnding);
+  // A record of the group is new.
+  void OnChange(const GroupRecord& aRecord);
+  // Whether it waits at a database that is not the primary any more.
+  bool IsReplaced(const Pending& aPending) const;
+  // Those that wait at a database that is not the primary any more wait for the next.
+  void LeaveReplaced(const std::string& aGroup);
+  // Connections to a primary that are in use and not in force any more.
+  std::vector<LeasePtr> Replaced(const std::string& aGroup) const;
+  // Of answers that came after `aSince`, about the primary in force.
+  void ConfirmPrimary(const std::string& aGroup,
+                      TimePoint aSince,
+                      std::function<void(bool)> aDone);
   void StartRound(const std::string& aName);
   void OnRoundAnswer(const std::string& aName,
                      const RoundPtr& aRound,
@@ -133,6 +157,7 @@
   void OnRoundOver(const std::string& aName, const RoundPtr& aRound);
   void Place(std::uint64_t aTicket);
   void PlaceAt(std::uint64_t aTicket, const PoolPtr& aPool, bool aIsPrimary);
+  void OnGranted(std::uint64_t aTicket, tl::expected<LeasePtr, Refusal> aLease);
   void PlaceRead(std::uint64_t aTicket);
   void Refuse(std::uint64_t aTicket, const char* aReason, TimePoint aRetryAt);
   PoolPtr FindPool(const std::string& aName) const;
@@ -146,7 +171,6 @@
                 const ConnectionReply& aReply,
                 TimePoint aSentAt);
   void AskForHead(const std::string& aName, Group& aGroup, TimePoint aNow);
-  std::size_t BusyAtPrimary(const std::string& aGroup) const;
 
   Loop& mLoop;
   Databases& mDatabases;
--- a/src/proxy/DatabasePool.cpp
+++ b/src/proxy/DatabasePool.cpp
@@ -81,14 +81,15 @@
   Do(mPlan.RefuseAll(Clock::now()));
 }
 
-void DatabasePool::CloseBusy()
+std::vector<LeasePtr> DatabasePool::Leases() const
 {
-  auto busy = mBusy;
-  for (const auto& it : busy) {
+  std::vector<LeasePtr> leases;
+  for (const auto& it : mBusy) {
     if (auto lease = it.second.lock()) {
-      lease->mLink->Close();
+      leases.push_back(std::move(lease));
     }
   }
+  return leases;
 }
 
 void DatabasePool::OnReply(const ConnectionReply& aReply, TimePoint aSentAt)
--- a/src/proxy/DatabasePool.h
+++ b/src/proxy/DatabasePool.h
@@ -31,9 +31,8 @@
   // The database is not to be used any more: idle connections are closed, those that
   // wait are refused, those in use go on.
   void Retire();
-  // Breaks all connections that are in use.
-  void CloseBusy();
-  std::size_t Busy() const { return mBusy.size(); }
+  // Those in use.
+  std::vector<LeasePtr> Leases() const;
   // A command of this daemon's own, on any idle connection, else on one of its own
   // within the limit. None: no answer by the deadline, or no connection.
   void Ask(const ConnectionCommand& aCommand,
--- a/test/proxy/DatabaseFleetTest.cpp
+++ b/test/proxy/DatabaseFleetTest.cpp
@@ -114,7 +114,7 @@
     lease.mGroup = "g";
     lease.mIsPrimary = true;
     lease.mChange = 1;
-    Confirm(lease, isConfirmed);
+    world.mFleet.Confirm(lease, Clock::now(), [&](bool aIsSo) { isConfirmed = aIsSo; });
     auto third = world.mDatabases.Accept("third");
     auto other = world.mDatabases.Accept("new");
     world.ReplacePrimary("new");
@@ -122,11 +122,6 @@
     other->Answer(FleetWorld::Status("replica 1"));
     CPPUNIT_ASSERT(!isConfirmed);
   }
-  void Confirm(const Lease& aLease, bool& aIsConfirmed)
-  {
-    mWorld->mFleet.Confirm(
-      aLease.mGroup, Clock::now(), [&](bool aIsSo) { aIsConfirmed = aIsSo; });
-  }
 
   // Guards against an order to promote while statements run at a primary of which the
   // daemon knows only a later entry, or none.
--- a/test/proxy/FakeBackend.h
+++ b/test/proxy/FakeBackend.h
@@ -88,8 +88,15 @@
       aLease->mLink->Close();
     }
   }
-  bool MayUsePrimary(const std::string&) const override { return mMayUsePrimary; }
-  void Confirm(const std::string&, TimePoint, std::function<void(bool)> aDone) override
+  bool IsInForce(const proxy::Lease& aLease) const override
+  {
+    return !aLease.mIsPrimary || mIsPrimaryInForce;
+  }
+  bool MayBelieve(const proxy::Lease& aLease) const override
+  {
+    return !aLease.mIsPrimary || (mIsPrimaryInForce && mMayUsePrimary);
+  }
+  void Confirm(const proxy::Lease&, TimePoint, std::function<void(bool)> aDone) override
   {
     mConfirmations.push_back(std::move(aDone));
   }
@@ -128,6 +135,7 @@
   std::map<std::uint64_t, Wanted> mWanted;
   std::deque<std::function<void(bool)>> mConfirmations;
   std::optional<LogPosition> mHead;
+  bool mIsPrimaryInForce = true;
   bool mMayUsePrimary = true;
   int mReleased = 0;
   int mBroken = 0;
