A connection belongs to its pool: standing down finds those of earlier entries, and none is returned to another

A database whose entry has been missing for 2.5 s is given up, and its pool is dropped, while transactions go on there. Standing down looked the pool up by the database's name, found nothing busy, and said at once that nothing was under way. A database that is given up and listed again, or at another address, has a new pool, whose connections are numbered from 1 again; a connection of the earlier pool was returned by name to the new one, which took one of its own, in use, for free. (3) A connection that opened after its database was given up stayed open for good, within the database's count.

Cause: leases named their database, not the pool that they came from.

Now: a lease knows its pool; a pool that is given up is kept until the last of its connections has come back, and counts when a daemon stands down.

--- a/src/proxy/Backend.h
+++ b/src/proxy/Backend.h
@@ -11,9 +11,13 @@
 
 namespace sesameway::proxy {
 
+class DatabasePool;
+
 // A connection to a database, for one statement or transaction.
 struct Lease
 {
+  // That it belongs to: a database that is listed anew has another one.
+  std::weak_ptr<DatabasePool> mPool;
   std::uint64_t mConnection = 0;
   std::string mDatabase;
   std::string mGroup;
--- a/src/proxy/DatabaseFleet.cpp
+++ b/src/proxy/DatabaseFleet.cpp
@@ -87,8 +87,7 @@
                  .With("role", kDatabaseRoleNames.Name(aDatabase.mRole));
   auto& pool = mPools[aDatabase.mName];
   if (pool && isOther) {
-    pool->Retire();
-    pool.reset();
+    Retire(std::exchange(pool, nullptr));
   }
   if (!pool) {
     pool = std::make_shared<DatabasePool>(mLoop, mDatabases, aDatabase);
@@ -216,9 +215,13 @@
 
 std::vector<LeasePtr> DatabaseFleet::Replaced(const std::string& aGroup) const
 {
-  std::vector<LeasePtr> replaced;
+  auto pools = mRetired;
   for (const auto& it : mPools) {
-    for (auto& lease : it.second->Leases()) {
+    pools.push_back(it.second);
+  }
+  std::vector<LeasePtr> replaced;
+  for (const auto& it : pools) {
+    for (auto& lease : it->Leases()) {
       if (lease->mGroup == aGroup && !IsInForce(*lease)) {
         replaced.push_back(std::move(lease));
       }
@@ -237,16 +240,22 @@
   for (const auto& it : names) {
     if (mList.Find(it) == nullptr) {
       LOG(INFO) << daemon::Line("database_gone").With("database", it);
-      auto pool = mPools.extract(it);
-      pool.mapped()->Retire();
+      Retire(mPools.extract(it).mapped());
     }
   }
 }
 
+void DatabaseFleet::Retire(PoolPtr aPool)
+{
+  aPool->Retire();
+  mRetired.push_back(std::move(aPool));
+}
+
 void DatabaseFleet::Tick()
 {
   auto now = Clock::now();
   ForgetMissing(now);
+  std::erase_if(mRetired, [](const auto& aIt) { return aIt->Leases().empty(); });
   for (auto& it : mGroups) {
     AskForHead(it.first, it.second, now);
   }
@@ -336,8 +345,7 @@
 
 void DatabaseFleet::Release(const LeasePtr& aLease, bool aIsBroken)
 {
-  auto pool = FindPool(aLease->mDatabase);
-  if (pool) {
+  if (auto pool = aLease->mPool.lock()) {
     pool->Release(aLease, aIsBroken);
   } else {
     aLease->mLink->Close();
@@ -381,14 +389,15 @@
 
 void DatabaseFleet::OnSent(const Lease& aLease)
 {
-  if (auto pool = FindPool(aLease.mDatabase)) {
+  if (auto pool = aLease.mPool.lock()) {
     pool->OnSent(Clock::now());
   }
 }
 
 bool DatabaseFleet::IsSilent(const Lease& aLease) const
 {
-  auto silence = Silence(aLease.mDatabase, Clock::now());
+  auto pool = aLease.mPool.lock();
+  auto silence = pool ? pool->Silence(Clock::now()) : std::nullopt;
   return silence && *silence >= kSilence;
 }
 
@@ -396,7 +405,7 @@
                             const ConnectionReply& aReply,
                             TimePoint aSentAt)
 {
-  if (auto pool = FindPool(aLease.mDatabase)) {
+  if (auto pool = aLease.mPool.lock()) {
     pool->OnReply(aReply, aSentAt);
     pool->OnResult(aReply.mCode);
   }
--- a/src/proxy/DatabaseFleet.h
+++ b/src/proxy/DatabaseFleet.h
@@ -166,6 +166,7 @@
   void SetLimits();
   // Gives up the databases that have been missing from the store too long.
   void ForgetMissing(TimePoint aNow);
+  void Retire(PoolPtr aPool);
   void NoteHead(const std::string& aGroup,
                 const std::string& aDatabase,
                 const ConnectionReply& aReply,
@@ -182,6 +183,8 @@
   std::size_t mDaemons = 1;
   DatabaseList mList;
   std::map<std::string, PoolPtr> mPools;
+  // Of earlier entries, while their connections are in use.
+  std::vector<PoolPtr> mRetired;
   std::map<std::string, Group> mGroups;
   std::map<std::uint64_t, Pending> mPending;
   std::uint64_t mNextTicket = 1;
--- a/src/proxy/DatabasePool.cpp
+++ b/src/proxy/DatabasePool.cpp
@@ -192,6 +192,11 @@
                             tl::expected<DatabaseLinkPtr, ReplyCode> aLink)
 {
   auto now = Clock::now();
+  if (aLink && mIsRetired) {
+    (*aLink)->Close();
+    Do(mPlan.OnGone(aConnection, now));
+    return;
+  }
   if (aLink) {
     OnHeard(aSentAt);
     mRefusals = 0;
@@ -320,6 +325,7 @@
 {
   const auto& held = mHeld.at(aConnection);
   auto lease = std::make_shared<Lease>();
+  lease->mPool = weak_from_this();
   lease->mConnection = aConnection;
   lease->mDatabase = mListed.mName;
   lease->mGroup = mListed.mGroup;
