DatabaseFleetTest: sessions and the fleet have one clock

The fake host's clock stood at 1,000 s, the fleet reads the machine's. Once the machine had been up for longer, every statement's deadline was over and the suite failed (segmentation fault where a connection was expected). Seen after 1,010 s of uptime; the host now starts at the machine's time.

--- a/test/proxy/FakeDatabases.h
+++ b/test/proxy/FakeDatabases.h
@@ -63,6 +63,8 @@
       return ReadStatus(aRow);
     })
   {
+    // The fleet reads the real clock.
+    mHost.mNow = Clock::now();
     auto catalogue = std::make_shared<Catalogue>(*mHost.mCatalogue);
     catalogue->mServices["s"] = { "s", {}, { { "g", {}, 3, 22 } } };
     mHost.mCatalogue = catalogue;
