--- a/include/sesameway/Time.h
+++ b/include/sesameway/Time.h
@@ -40,6 +40,11 @@
   return std::chrono::duration_cast<microseconds>(aDeadline - aNow).count();
 }
 
+inline std::int64_t Millis(Duration aTime)
+{
+  return std::chrono::duration_cast<milliseconds>(aTime).count();
+}
+
 // A pause that grows with each try, up to a limit.
 constexpr Duration Doubled(Duration aTime, int aTimes, Duration aLimit)
 {
--- a/src/proxy/DatabaseFleet.h
+++ b/src/proxy/DatabaseFleet.h
@@ -18,7 +18,9 @@
 namespace sesameway::proxy {
 
 // All databases as this daemon sees them: which it may use for what, and its
-// connections to them. On the loop's thread.
+// connections to them. On the loop's thread. FleetPlacement.cpp holds who gets a
+// connection where, FleetPrimary.cpp what a change of primary does, FleetHeads.cpp what
+// is known of primaries' positions.
 class DatabaseFleet : public Backend
 {
 public:
--- /dev/null
+++ b/src/proxy/FleetHeads.cpp
@@ -0,0 +1,83 @@
+#include "proxy/DatabaseFleet.h"
+
+namespace sesameway::proxy {
+
+namespace {
+
+constexpr Duration kStatusTimeout = milliseconds(600);
+
+} // namespace
+
+std::optional<LogPosition> DatabaseFleet::HeadSince(const std::string& aGroup,
+                                                    TimePoint aSince) const
+{
+  auto it = mGroups.find(aGroup);
+  return it == mGroups.end() ? std::nullopt : it->second.mHeads.HeadSince(aSince);
+}
+
+// A primary's position counts only while this daemon knows that it is still the
+// primary.
+void DatabaseFleet::NoteHead(const std::string& aGroup,
+                             const std::string& aDatabase,
+                             const ConnectionReply& aReply,
+                             TimePoint aSentAt)
+{
+  auto& group = mGroups[aGroup];
+  bool isPrimary = group.mLeadership.Record().mPrimary == aDatabase;
+  if (!isPrimary || !aReply.mPosition) {
+    return;
+  }
+  if (MayUsePrimary(aGroup)) {
+    group.mHeads.Observe(*aReply.mPosition, aSentAt);
+    group.mHeadQuestions.OnHead(aSentAt);
+  } else if (!group.mProposed) {
+    group.mProposed = ProposedHead{ *aReply.mPosition, aSentAt, Clock::now() };
+  }
+}
+
+std::map<std::string, HeadHistory::Sample> DatabaseFleet::Heads() const
+{
+  std::map<std::string, HeadHistory::Sample> heads;
+  for (const auto& it : mGroups) {
+    if (const auto* newest = it.second.mHeads.Newest()) {
+      heads[it.first] = *newest;
+    }
+  }
+  return heads;
+}
+
+void DatabaseFleet::OnFellowHead(const std::string& aGroup,
+                                 const LogPosition& aHead,
+                                 TimePoint aAt)
+{
+  auto it = mGroups.find(aGroup);
+  if (it != mGroups.end()) {
+    it->second.mHeads.Observe(aHead, aAt);
+    it->second.mHeadQuestions.OnHead(aAt);
+  }
+}
+
+void DatabaseFleet::AskForHead(const std::string& aName, Group& aGroup, TimePoint aNow)
+{
+  auto pool = FindPool(aGroup.mLeadership.Record().mPrimary);
+  bool mayAsk = pool && MayTryPrimary(aName, aNow);
+  if (!mayAsk || !aGroup.mHeadQuestions.Ask(mAsksForHeads, aNow)) {
+    return;
+  }
+  ConnectionCommand status;
+  status.mKind = CommandKind::Status;
+  auto database = pool->Listed().mName;
+  auto onReply = [this, aName, database, aNow](std::optional<ConnectionReply> aReply) {
+    mGroups[aName].mHeadQuestions.OnAnswered();
+    if (!aReply) {
+      return;
+    }
+    NoteHead(aName, database, *aReply, aNow);
+    if (!MayUsePrimary(aName)) {
+      ConfirmPrimary(aName, Clock::now(), [](bool) {});
+    }
+  };
+  pool->Ask(status, aNow + kStatusTimeout, std::move(onReply));
+}
+
+} // namespace sesameway::proxy
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -29,6 +29,8 @@
 // fleet's coordinator changes. Sessions, databases and the store live on the loop's
 // thread; fellows' calls come on the peer thread, shares and tokens on the workers.
 // Locks: mMutex for what fellows ask, StoreSync's; neither under another.
+// ProxyStore.cpp holds what the store's changes do, ProxyFellows.cpp the talk with
+// fellows.
 class Proxy
   : public SessionHost
   , public CallerSessions
--- /dev/null
+++ b/src/proxy/ProxyStore.cpp
@@ -0,0 +1,264 @@
+#include "proxy/Proxy.h"
+
+#include "daemon/Log.h"
+
+#include <algorithm>
+
+namespace sesameway::proxy {
+
+namespace {
+
+// Between questions to the zone's daemon that follows the store.
+constexpr Duration kRelayInterval = milliseconds(350);
+constexpr Duration kRegisterTimeout = milliseconds(1000);
+constexpr Duration kRegisterPause = milliseconds(700);
+
+} // namespace
+
+void Proxy::OnKnown()
+{
+  mIsKnown = true;
+  LOG(INFO) << daemon::Line("serving")
+                 .With("revision", mSync.Revision())
+                 .With("routes", mCatalogue ? mCatalogue->mRoutes.size() : 0);
+  if (!mSync.Find(kCoordinatorObject)) {
+    mCoordinator->OnRecord(std::nullopt);
+  }
+}
+
+// A daemon that no coordinator knows of is not told of a change.
+void Proxy::OnContact(TimePoint aContact)
+{
+  if (mRegistration.Covers(aContact)) {
+    mFleet.SetContact(aContact);
+  }
+}
+
+void Proxy::OnChange(const StoredObject& aObject)
+{
+  auto kind = KindOf(aObject.mName);
+  if (aObject.mName == mAdapters.mConfigurationObject) {
+    OnConfiguration(aObject);
+  } else if (kind == mAdapters.mDatabaseKind) {
+    OnDatabase(aObject);
+  } else if (kind == kOwnKind) {
+    OnOwnObject(aObject);
+  }
+}
+
+void Proxy::OnConfiguration(const StoredObject& aObject)
+{
+  if (aObject.mDeleted) {
+    return;
+  }
+  auto catalogue = mAdapters.mReadConfiguration(aObject);
+  if (!catalogue) {
+    LOG(WARNING) << daemon::Line("configuration_rejected")
+                      .With("revision", aObject.mRevision)
+                      .With("expected", catalogue.error());
+    return;
+  }
+  mCatalogue = std::make_shared<const Catalogue>(std::move(*catalogue));
+  LOG(INFO) << daemon::Line("configuration")
+                 .With("revision", aObject.mRevision)
+                 .With("routes", mCatalogue->mRoutes.size())
+                 .With("keys", mCatalogue->mKeys.size())
+                 .With("organisations", mCatalogue->mOrganisations.size());
+  mFleet.SetCatalogue(mCatalogue);
+  mAdmission->OnCatalogue(*mCatalogue);
+}
+
+void Proxy::OnDatabase(const StoredObject& aObject)
+{
+  auto name = std::string(IdOf(aObject.mName));
+  if (aObject.mDeleted) {
+    LOG(INFO) << daemon::Line("database_unlisted")
+                   .With("database", name)
+                   .With("revision", aObject.mRevision);
+    mFleet.OnRemoved(name);
+    return;
+  }
+  auto database = mAdapters.mReadDatabase(aObject);
+  if (!database) {
+    LOG(WARNING) << daemon::Line("database_entry_rejected")
+                      .With("database", name)
+                      .With("revision", aObject.mRevision)
+                      .With("expected", database.error());
+    return;
+  }
+  mFleet.OnListed(*database);
+}
+
+void Proxy::OnOwnObject(const StoredObject& aObject)
+{
+  if (aObject.mName == kCoordinatorObject) {
+    mCoordinator->OnRecord(aObject);
+    return;
+  }
+  if (aObject.mName.starts_with(kMemberPrefix)) {
+    OnMember(aObject);
+    return;
+  }
+  if (!aObject.mName.starts_with(kGroupPrefix) || aObject.mDeleted) {
+    return;
+  }
+  auto record = ParseGroupRecord(aObject.mBody);
+  if (!record) {
+    LOG(WARNING) << daemon::Line("group_record_unreadable")
+                      .With("object", aObject.mName)
+                      .With("expected", record.error());
+    return;
+  }
+  mFleet.OnRecord(*record, aObject.mRevision);
+}
+
+void Proxy::OnMember(const StoredObject& aObject)
+{
+  auto name = aObject.mName.substr(std::string_view(kMemberPrefix).size());
+  std::optional<MemberRecord> record;
+  if (!aObject.mDeleted) {
+    auto read = ParseMemberRecord(aObject.mBody);
+    if (!read) {
+      LOG(WARNING) << daemon::Line("member_unreadable")
+                        .With("object", aObject.mName)
+                        .With("expected", read.error());
+      return;
+    }
+    record = std::move(*read);
+  }
+  {
+    std::lock_guard lock(mMutex);
+    if (record) {
+      mMembers[name] = *record;
+    } else {
+      mMembers.erase(name);
+    }
+  }
+  if (name == mSelf.mName) {
+    OnOwnRecord(record ? &*record : nullptr);
+  }
+  auto members = Members();
+  LOG(INFO) << daemon::Line("member")
+                 .With("name", name)
+                 .With("missing", record && record->mIsMissing)
+                 .With("removed", aObject.mDeleted)
+                 .With("members", members.size())
+                 .With("revision", aObject.mRevision);
+  OnFleet(members);
+}
+
+void Proxy::OnFleet(const std::vector<peer::Member>& aMembers)
+{
+  std::vector<std::string> zones;
+  std::vector<std::string> near;
+  mToGreet.clear();
+  for (const auto& it : aMembers) {
+    zones.push_back(it.mZone);
+    if (IsOwnRegion(it.mZone)) {
+      near.push_back(it.mName);
+    }
+    auto greeted = mGreeted.find(it.mName);
+    bool isGreeted = greeted != mGreeted.end() && greeted->second == it.mIncarnation;
+    if (!isGreeted && it.mName != mSelf.mName) {
+      mToGreet.push_back(it);
+    }
+  }
+  std::stable_partition(mToGreet.begin(), mToGreet.end(), [this](const auto& aIt) {
+    return IsOwnRegion(aIt.mZone);
+  });
+  mFleet.SetDaemonZones(zones);
+  mWatchers.SetDaemons(std::move(near));
+}
+
+bool Proxy::IsOwnRegion(const std::string& aZone) const
+{
+  auto own = mSettings.mRegions.find(mSelf.mZone);
+  auto other = mSettings.mRegions.find(aZone);
+  bool isKnown = own != mSettings.mRegions.end() && other != mSettings.mRegions.end();
+  return isKnown ? own->second == other->second : aZone == mSelf.mZone;
+}
+
+void Proxy::OnOwnRecord(const MemberRecord* aRecord)
+{
+  mRegistration.OnRecord(aRecord, Clock::now());
+  // The former process of this name has ended if this one listens at its address.
+  bool isFormer = aRecord != nullptr && aRecord->mAddress == mSelf.mAddress &&
+                  aRecord->mIncarnation != mSelf.mIncarnation;
+  if (isFormer) {
+    mShareKeeper->UseFormerSlots(mStartedAt);
+  }
+}
+
+std::vector<MemberRecord> Proxy::Records() const
+{
+  std::lock_guard lock(mMutex);
+  std::vector<MemberRecord> records;
+  for (const auto& it : mMembers) {
+    records.push_back(it.second);
+  }
+  return records;
+}
+
+// Without those that may be gone for good.
+std::vector<peer::Member> Proxy::Members() const
+{
+  std::vector<peer::Member> members;
+  for (const auto& it : Records()) {
+    if (!it.mIsMissing) {
+      members.push_back({ it.mName, it.mZone, it.mAddress, it.mIncarnation, false });
+    }
+  }
+  return members;
+}
+
+void Proxy::Register(TimePoint aNow)
+{
+  if (!mIsKnown || mIsRegistering || aNow < mRegisterAgainAt) {
+    return;
+  }
+  auto name = kMemberPrefix + mSelf.mName;
+  auto known = mSync.Find(name);
+  if (known && known->mBody == mOwnRecord) {
+    return;
+  }
+  mIsRegistering = true;
+  mAdapters.mStore->Put(name,
+                        mOwnRecord,
+                        known ? known->mVersion : 0,
+                        false,
+                        aNow + kRegisterTimeout,
+                        [this](std::optional<platform::PutResult> aResult) {
+                          mIsRegistering = false;
+                          mRegisterAgainAt = Clock::now() + kRegisterPause;
+                          mSync.Apply(aResult);
+                        });
+}
+
+void Proxy::FollowStore(TimePoint aNow)
+{
+  // The coordinator has to know at once who has come.
+  bool mustWatch =
+    mWatchers.MustWatch(mSync.Contact(), aNow) || mCoordinator->IsCoordinator();
+  // Only then is it known who follows the store.
+  if (!mIsKnown) {
+    return;
+  }
+  mSync.SetFollowing(mustWatch);
+  mFleet.SetAsksForHeads(mustWatch);
+  auto fellow = mWatchers.Fellow();
+  if (fellow.empty() || aNow < mRelayAt || mPeers == nullptr) {
+    return;
+  }
+  mRelayAt = aNow + kRelayInterval;
+  std::string address;
+  for (const auto& it : Members()) {
+    if (it.mName == fellow) {
+      address = it.mAddress;
+    }
+  }
+  PullFrom(address, [this](bool aHasAnswered) {
+    aHasAnswered ? mWatchers.OnAnswer() : mWatchers.OnNoAnswer();
+  });
+}
+
+} // namespace sesameway::proxy
