--- a/src/proxy/CallerRun.h
+++ b/src/proxy/CallerRun.h
@@ -47,8 +47,8 @@
 } // namespace detail
 
 // One caller's session: its values and prepared statements live here, not on a database
-// connection, which it holds for a statement or a transaction only. CallerSend.cpp holds
-// the way to a database, CallerOutcome.cpp what its answers lead to.
+// connection, which it holds for a statement or a transaction only. CallerSend.cpp
+// holds the way to a database, CallerOutcome.cpp what its answers lead to.
 class CallerRun
   : public CallerSession
   , public std::enable_shared_from_this<CallerRun>
