A confirmation of an earlier change is never settled by a later round

No way to it is known, as a round settles all of an earlier change when it ends; the condition now stands where the answer is given.

--- a/src/proxy/FleetPrimary.cpp
+++ b/src/proxy/FleetPrimary.cpp
@@ -287,7 +287,7 @@
   group.mConfirmations = std::move(later);
   bool needsAnother = !group.mConfirmations.empty();
   for (auto& it : settled) {
-    it.mDone(isConfirmed);
+    it.mDone(isConfirmed && it.mChange == change);
   }
   if (needsAnother && !mGroups[aName].mRound) {
     StartRound(aName);
