Each coordinator names the database in the record before its first order

A write of the record without an answer may take effect seconds later, while its condition holds. Nothing wrote the record between "changing" and the order, so a former coordinator's late "serving X" could be taken after its successor had ordered Y: daemons then used X while the platform made Y the primary.

The coordinator now writes target, its fence and a count into the record, on condition of the revision, and orders only once the store shows that. A write that its predecessor, or its own former plan, has sent fails from then on; which of the two is taken first is the store's to say, and the loser reads the record anew. A successor keeps the target that it finds. The count is there as a write that changes nothing leaves the store's revision as it is.

Ruled out: the fence alone (a plan that is begun again under the same fence would take its former write for its own); to order while the store is out (no daemon could learn of the new primary either, as that needs the same record). The daemon steps the group when the store has answered, so the order waits for one write, not for a tick.

Before, AFormerCoordinatorsLateWriteFailsOnceAnotherHasOrdered: equality assertion failed - Expected: i-0 - Actual: i-1 (the late "serving i-1" was taken after the order to i-2). Now it passes; PromotionTest and LeadershipTest: 25 passed. The model's schedules hold and release writes too.

--- a/include/sesameway/Leadership.h
+++ b/include/sesameway/Leadership.h
@@ -43,8 +43,12 @@
   std::uint64_t mChange = 0;
   std::uint64_t mTerm = 0;
   std::string mPrimary;
-  // While changing, the database that was told to take over; empty before that.
+  // While changing, the database that is told to take over; empty before that.
   std::string mTarget;
+  // Of the coordinator that named the target; 0: none has.
+  std::uint64_t mFence = 0;
+  // Counts the times a target was named, so that each one is a change.
+  std::uint64_t mNaming = 0;
   bool operator==(const GroupRecord&) const = default;
 };
 
--- a/include/sesameway/Promotion.h
+++ b/include/sesameway/Promotion.h
@@ -28,7 +28,9 @@
 // The coordinator's part in one group: finds the first primary, notices that the
 // primary is gone or leaving, and has another database take over. Nothing is sent to
 // the old primary any more once the order goes out: each daemon has stood down, or has
-// lost contact for so long that it may not use the primary.
+// lost contact for so long that it may not use the primary. Before its first order each
+// coordinator names the database in the record, so that no write that its predecessor
+// has sent can be taken afterwards.
 class PromotionPlan
 {
 public:
@@ -92,6 +94,8 @@
     std::set<std::string> mMissing;
     // Of the store; every daemon that had its record by then is among them.
     std::uint64_t mRevision = 0;
+    // Of this coordinator's lease.
+    std::uint64_t mFence = 0;
     std::string mSelf;
   };
 
@@ -164,6 +168,13 @@
   std::string ChooseTarget(const GroupRecord& aRecord,
                            const Surroundings& aAround,
                            TimePoint aNow) const;
+  std::string FindTarget(const GroupRecord& aRecord,
+                         const Surroundings& aAround,
+                         TimePoint aNow) const;
+  bool HasNamed(const std::string& aTarget,
+                const GroupRecord& aRecord,
+                std::uint64_t aRevision,
+                const Surroundings& aAround) const;
   std::vector<std::string> NotStoodDown(const Surroundings& aAround) const;
   bool FinishIfTaken(const GroupRecord& aRecord,
                      std::uint64_t aRevision,
@@ -192,6 +203,9 @@
   TimePoint mChangingSince{};
   TimePoint mClosedAt{};
   std::set<std::string> mStoodDown;
+  // A record of this revision may still be replaced by a write other than the naming of
+  // this plan's target.
+  std::uint64_t mNamedAfter = 0;
   std::string mOrdered;
   TimePoint mOrderedAt{};
   bool mIsOrderRefused = false;
--- a/src/core/Leadership.cpp
+++ b/src/core/Leadership.cpp
@@ -64,6 +64,8 @@
   record.mTerm = NumberIn(*table, "term");
   record.mPrimary = TextIn(*table, "primary");
   record.mTarget = TextIn(*table, "target");
+  record.mFence = NumberIn(*table, "fence");
+  record.mNaming = NumberIn(*table, "naming");
   return record;
 }
 
@@ -76,6 +78,8 @@
     { "term", Signed(aRecord.mTerm) },
     { "primary", aRecord.mPrimary },
     { "target", aRecord.mTarget },
+    { "fence", Signed(aRecord.mFence) },
+    { "naming", Signed(aRecord.mNaming) },
   });
 }
 
--- a/src/core/Promotion.cpp
+++ b/src/core/Promotion.cpp
@@ -166,6 +166,7 @@
   mCause = cause;
   auto record = aRecord;
   record.mPhase = GroupPhase::Changing;
+  record.mTarget.clear();
   ++record.mChange;
   Write(std::move(record), aRevision, aNow, aActions);
 }
@@ -237,6 +238,7 @@
     mChangingSince = aNow;
     mClosedAt = TimePoint{};
     mStoodDown.clear();
+    mNamedAfter = aRevision;
     mOrdered.clear();
     mIsOrderRefused = false;
   }
@@ -254,10 +256,18 @@
   if (!mOrdered.empty() && aNow - mOrderedAt < limit) {
     return;
   }
-  auto target = ChooseTarget(aRecord, aAround, aNow);
+  auto target = FindTarget(aRecord, aAround, aNow);
   if (target.empty()) {
     return;
   }
+  if (!HasNamed(target, aRecord, aRevision, aAround)) {
+    auto record = aRecord;
+    record.mTarget = target;
+    record.mFence = aAround.mFence;
+    ++record.mNaming;
+    Write(std::move(record), aRevision, aNow, aActions);
+    return;
+  }
   mOrdered = target;
   mOrderedAt = aNow;
   mIsOrderRefused = false;
@@ -265,6 +275,29 @@
     OrderPromotion{ target, mStoodDown.size(), NotStoodDown(aAround) });
 }
 
+// What an earlier coordinator has named it may have ordered as well.
+std::string PromotionPlan::FindTarget(const GroupRecord& aRecord,
+                                      const Surroundings& aAround,
+                                      TimePoint aNow) const
+{
+  bool isFirst = mOrdered.empty();
+  if (isFirst && Find(aAround, aRecord.mTarget) != nullptr) {
+    return aRecord.mTarget;
+  }
+  return ChooseTarget(aRecord, aAround, aNow);
+}
+
+// A former coordinator's writes hold for the revisions that it knew, and this plan may
+// have sent one that ends the change. Both fail once a later revision names the target.
+bool PromotionPlan::HasNamed(const std::string& aTarget,
+                             const GroupRecord& aRecord,
+                             std::uint64_t aRevision,
+                             const Surroundings& aAround) const
+{
+  bool isOwn = aRecord.mFence == aAround.mFence && aRecord.mTarget == aTarget;
+  return isOwn && aRevision > mNamedAfter;
+}
+
 std::vector<std::string> PromotionPlan::NotStoodDown(const Surroundings& aAround) const
 {
   std::vector<std::string> left;
@@ -362,11 +395,13 @@
   }
   auto record = aRecord;
   record.mPhase = GroupPhase::Serving;
+  record.mTarget.clear();
   record.mPrimary = found->mName;
   record.mTerm = term;
   if (Find(aAround, aRecord.mPrimary) != nullptr && aNow >= mWriteAgainAt) {
     aActions.emplace_back(OrderDemotion{ aRecord.mPrimary, term });
   }
+  mNamedAfter = aRevision;
   Write(std::move(record), aRevision, aNow, aActions);
   return true;
 }
--- a/src/proxy/CoordinatorRun.cpp
+++ b/src/proxy/CoordinatorRun.cpp
@@ -180,6 +180,7 @@
     }
   }
   around.mRevision = mParts.mSync.OwnRevision();
+  around.mFence = mLease.Fence();
   for (const auto* it : around.mDatabases) {
     plan.OnHeard(it->mName, mParts.mFleet.HeardAt(it->mName));
   }
@@ -246,6 +247,7 @@
                  .With("change", record.mChange)
                  .With("term", record.mTerm)
                  .With("primary", record.mPrimary)
+                 .With("target", record.mTarget)
                  .With("cause", kPromotionCauseNames.Name(plan->CauseOf()))
                  .With("expected", aAction.mExpected);
   auto onResult = [self = shared_from_this(),
@@ -254,6 +256,10 @@
     if (auto* plan = self->PlanOf(aGroup)) {
       plan->OnWritten(aResult ? std::optional(aResult->mApplied) : std::nullopt,
                       Clock::now());
+      // An order that waits for the record goes out at once, not with the next tick.
+      if (aResult && aResult->mApplied) {
+        self->StepGroup(aGroup, self->mParts.mMembers(), Clock::now());
+      }
     }
   };
   mParts.mStore.Put(kGroupPrefix + aGroup,
--- a/test/core/PromotionTest.cpp
+++ b/test/core/PromotionTest.cpp
@@ -5,6 +5,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <utility>
 
 using namespace sesameway;
 
@@ -118,6 +119,7 @@
   void ReplaceCoordinator()
   {
     mPlan = PromotionPlan("g");
+    ++mFence;
     mMemberWatch = MemberWatch();
   }
 
@@ -132,8 +134,18 @@
   bool mDoesCoordinatorFollow = true;
   bool mDoesStoreAnswer = true;
   int mOrders = 0;
+  std::string mLastOrdered;
   std::string mOrderedWhileInUse;
   bool mAreOrdersLost = false;
+  // A write then gets no answer and may take effect later, while its condition holds.
+  bool mAreWritesHeld = false;
+  // Held writes take effect, those whose condition no longer holds do nothing.
+  void LandWrites()
+  {
+    for (const auto& it : std::exchange(mHeldWrites, {})) {
+      Take(it);
+    }
+  }
 
 private:
   void ReadStore(const std::string& aName, FakeDaemon& aDaemon)
@@ -196,6 +208,7 @@
       }
     }
     around.mRevision = mSeenRevision;
+    around.mFence = mFence;
     for (const auto& it : mSeenMembers) {
       around.mDaemons.push_back(it.first);
       if (it.second.mIsMissing) {
@@ -232,16 +245,24 @@
   }
   void Do(const PromotionPlan::WriteRecord& aWrite)
   {
-    if (!mDoesStoreAnswer) {
+    if (mAreWritesHeld) {
+      mHeldWrites.push_back(aWrite);
+    }
+    if (!mDoesStoreAnswer || mAreWritesHeld) {
       mPlan.OnWritten(std::nullopt, mNow);
       return;
     }
+    mPlan.OnWritten(Take(aWrite), mNow);
+  }
+  // The store's revision stays if nothing changes.
+  bool Take(const PromotionPlan::WriteRecord& aWrite)
+  {
     bool isTaken = aWrite.mExpected == mRevision;
-    if (isTaken) {
+    if (isTaken && (mRevision == 0 || aWrite.mRecord != mRecord)) {
       mRecord = aWrite.mRecord;
       mRevision = ++mStoreRevision;
     }
-    mPlan.OnWritten(isTaken, mNow);
+    return isTaken;
   }
   void Do(const PromotionPlan::AskStandDown& aAsk)
   {
@@ -256,6 +277,7 @@
   void Do(const PromotionPlan::OrderPromotion& aOrder)
   {
     ++mOrders;
+    mLastOrdered = aOrder.mDatabase;
     if (IsAnySending(aOrder.mDatabase)) {
       mOrderedWhileInUse = aOrder.mDatabase;
     }
@@ -297,7 +319,9 @@
   MemberWatch mMemberWatch;
   std::uint64_t mStoreRevision = 0;
   std::uint64_t mSeenRevision = 0;
+  std::uint64_t mFence = 1;
   std::map<std::string, Duration> mSilence;
+  std::vector<PromotionPlan::WriteRecord> mHeldWrites;
   std::string mPromoting;
   TimePoint mPromotedAt{};
 };
@@ -321,6 +345,7 @@
   CPPUNIT_TEST(ANewCoordinatorGivesAPrimaryTimeToBeListed);
   CPPUNIT_TEST(ANewCoordinatorReplacesAPrimaryThatStaysUnlisted);
   CPPUNIT_TEST(OrdersAgainWhenNothingHappens);
+  CPPUNIT_TEST(AFormerCoordinatorsLateWriteFailsOnceAnotherHasOrdered);
   CPPUNIT_TEST(NeverOrdersWhileTheOldPrimaryIsInUse);
   CPPUNIT_TEST_SUITE_END();
 
@@ -487,6 +512,29 @@
     CPPUNIT_ASSERT(world.RunUntilServedBy("i-1", seconds(4)));
   }
 
+  // Guards against a record of a former coordinator that is taken after its successor
+  // has ordered another database.
+  void AFormerCoordinatorsLateWriteFailsOnceAnotherHasOrdered()
+  {
+    World world(3);
+    world.Run(seconds(1));
+    world.At("i-0").mIsUp = false;
+    while (world.mOrders == 0) {
+      world.Step();
+    }
+    world.mAreWritesHeld = true;
+    world.Run(seconds(1));
+    world.mAreWritesHeld = false;
+    world.ReplaceCoordinator();
+    world.At("i-1").mIsUp = false;
+    while (world.mLastOrdered != "i-2") {
+      world.Step();
+    }
+    world.LandWrites();
+    CPPUNIT_ASSERT_EQUAL(std::string("i-0"), world.Primary());
+    CPPUNIT_ASSERT(world.RunUntilServedBy("i-2", seconds(2)));
+  }
+
   // Daemons lose the store, the coordinator and the primary in any order; databases die
   // and come back; coordinators follow each other.
   void NeverOrdersWhileTheOldPrimaryIsInUse()
@@ -497,7 +545,7 @@
       for (int n = 0; n < 25; ++n) {
         auto daemon = "d" + std::to_string(*rc::gen::inRange(0, 4));
         auto database = "i-" + std::to_string(*rc::gen::inRange(0, 3));
-        switch (*rc::gen::inRange(0, 9)) {
+        switch (*rc::gen::inRange(0, 11)) {
           case 0:
             world.mDaemons[daemon].mReadsStore ^= true;
             break;
@@ -520,6 +568,12 @@
             world.mDoesCoordinatorFollow ^= true;
             break;
           case 7:
+            world.mAreWritesHeld ^= true;
+            break;
+          case 8:
+            world.LandWrites();
+            break;
+          case 9:
             // Long enough for records to be removed.
             world.Run(seconds(*rc::gen::inRange(0, 25)));
             RC_ASSERT(world.mOrderedWhileInUse.empty());
