An order without an answer is repeated to the same database until it is settled

An order without an answer was followed after 2.5 s by one that could name another database. Where the first took effect late, a primary in use was replaced without anybody standing down. Besides, a database that answered one status, then died, was ordered and refused without end: the choice counted any report since the daemons had stood down.

The database that the record names is now the only one that is ordered until the platform has refused it, or it is listed no more, and 3.5 s have passed since the last order that was not refused (the call's 2 s, at which its connection is closed, 1 s for the longest promotion of the sites, a margin). A successor takes the named one for ordered just then. A refused database counts again once it has answered a status; one that stays silent is passed over after 1 s. The repetition comes 0.7 s after a lost call, not 2.5 s after the order, as it can do no harm.

Not covered: a platform that holds an order that it has read for longer; a successor does not know of unanswered orders of a change that has ended (it would have to replace that primary within 3.5 s).

--- a/include/sesameway/Promotion.h
+++ b/include/sesameway/Promotion.h
@@ -30,7 +30,9 @@
 // the old primary any more once the order goes out: each daemon has stood down, or has
 // lost contact for so long that it may not use the primary. Before its first order each
 // coordinator names the database in the record, so that no write that its predecessor
-// has sent can be taken afterwards.
+// has sent can be taken afterwards. An order without an answer may take effect late, so
+// it is repeated to the same database; another one is named after a refusal only, and
+// once no earlier order can take effect any more.
 class PromotionPlan
 {
 public:
@@ -138,6 +140,8 @@
     TimePoint mAskedAt{};
     TimePoint mHeardAt{};
     TimePoint mProbedAt{};
+    // When the platform last refused to promote it.
+    TimePoint mRefusedAt{};
   };
   struct Fellow
   {
@@ -175,6 +179,8 @@
                 const GroupRecord& aRecord,
                 std::uint64_t aRevision,
                 const Surroundings& aAround) const;
+  // From when on no order that was sent can take effect any more.
+  TimePoint SettledAt() const;
   std::vector<std::string> NotStoodDown(const Surroundings& aAround) const;
   bool FinishIfTaken(const GroupRecord& aRecord,
                      std::uint64_t aRevision,
@@ -206,9 +212,14 @@
   // A record of this revision may still be replaced by a write other than the naming of
   // this plan's target.
   std::uint64_t mNamedAfter = 0;
+  // The last order of the change; empty: none yet.
   std::string mOrdered;
   TimePoint mOrderedAt{};
-  bool mIsOrderRefused = false;
+  // None: no answer so far.
+  std::optional<bool> mIsOrderTaken;
+  TimePoint mOrderAgainAt{};
+  // By the orders before that one.
+  TimePoint mSettledAt{};
 };
 inline constexpr NameTable<PromotionPlan::Cause, 6> kPromotionCauseNames{
   { "none",
--- a/src/core/Promotion.cpp
+++ b/src/core/Promotion.cpp
@@ -31,6 +31,13 @@
 // An order without effect is given again after this long.
 constexpr Duration kOrderLimit = milliseconds(2500);
 constexpr Duration kRefusedOrderPause = milliseconds(300);
+// Before an order without an answer is repeated.
+constexpr Duration kUnansweredOrderPause = milliseconds(700);
+// An order that may have been sent takes effect by then or never: the call's 2 s, a
+// promotion's 1 s and a margin.
+constexpr Duration kOrderEffectLimit = milliseconds(3500);
+// A refused database that answers nothing for this long is passed over.
+constexpr Duration kRefusedPatience = milliseconds(1000);
 constexpr Duration kWriteLimit = milliseconds(1200);
 
 const ListedDatabase* Find(const PromotionPlan::Surroundings& aAround,
@@ -106,9 +113,12 @@
 
 void PromotionPlan::OnOrdered(std::optional<bool> aIsTaken, TimePoint aNow)
 {
-  if (aIsTaken.has_value() && !*aIsTaken) {
-    mIsOrderRefused = true;
-    mOrderedAt = aNow;
+  mIsOrderTaken = aIsTaken;
+  if (!aIsTaken) {
+    mOrderAgainAt = aNow + kUnansweredOrderPause;
+  } else if (!*aIsTaken) {
+    mOrderAgainAt = aNow + kRefusedOrderPause;
+    mDatabases[mOrdered].mRefusedAt = aNow;
   }
 }
 
@@ -239,8 +249,16 @@
     mClosedAt = TimePoint{};
     mStoodDown.clear();
     mNamedAfter = aRevision;
+    // A predecessor may have ordered its target just now. An order of the former change
+    // that was taken has had its effect.
+    bool isInherited = !aRecord.mTarget.empty();
+    mSettledAt = isInherited     ? aNow + kOrderEffectLimit
+                 : mIsOrderTaken ? mSettledAt
+                                 : SettledAt();
     mOrdered.clear();
-    mIsOrderRefused = false;
+    mOrderedAt = TimePoint{};
+    mIsOrderTaken.reset();
+    mOrderAgainAt = TimePoint{};
   }
   ProbeAll(aAround, kChangeProbeInterval, aNow, aActions);
   if (!IsClosed(aRecord, aRevision, aAround, aNow, aActions)) {
@@ -252,8 +270,7 @@
   if (FinishIfTaken(aRecord, aRevision, aAround, aNow, aActions)) {
     return;
   }
-  auto limit = mIsOrderRefused ? kRefusedOrderPause : kOrderLimit;
-  if (!mOrdered.empty() && aNow - mOrderedAt < limit) {
+  if (aNow < mOrderAgainAt) {
     return;
   }
   auto target = FindTarget(aRecord, aAround, aNow);
@@ -268,23 +285,43 @@
     Write(std::move(record), aRevision, aNow, aActions);
     return;
   }
+  mSettledAt = SettledAt();
   mOrdered = target;
   mOrderedAt = aNow;
-  mIsOrderRefused = false;
+  mOrderAgainAt = aNow + kOrderLimit;
+  mIsOrderTaken.reset();
   aActions.emplace_back(
     OrderPromotion{ target, mStoodDown.size(), NotStoodDown(aAround) });
 }
 
-// What an earlier coordinator has named it may have ordered as well.
+// What the record names may have been ordered, by this coordinator or an earlier one,
+// and may yet lead. It alone may be ordered until that is settled.
 std::string PromotionPlan::FindTarget(const GroupRecord& aRecord,
                                       const Surroundings& aAround,
                                       TimePoint aNow) const
 {
-  bool isFirst = mOrdered.empty();
-  if (isFirst && Find(aAround, aRecord.mTarget) != nullptr) {
+  bool isSettled = aNow >= SettledAt();
+  if (Find(aAround, aRecord.mTarget) == nullptr) {
+    return isSettled ? ChooseTarget(aRecord, aAround, aNow) : std::string();
+  }
+  auto known = mDatabases.find(aRecord.mTarget);
+  auto refusedAt = known == mDatabases.end() ? TimePoint{} : known->second.mRefusedAt;
+  bool isRefused = mOrdered == aRecord.mTarget && mIsOrderTaken == false;
+  if (!isRefused) {
     return aRecord.mTarget;
   }
-  return ChooseTarget(aRecord, aAround, aNow);
+  bool isAlive = known->second.mAskedAt > refusedAt;
+  if (!isSettled) {
+    return isAlive ? aRecord.mTarget : std::string();
+  }
+  bool isTooEarly = !isAlive && aNow < refusedAt + kRefusedPatience;
+  return isTooEarly ? std::string() : ChooseTarget(aRecord, aAround, aNow);
+}
+
+TimePoint PromotionPlan::SettledAt() const
+{
+  bool isRefused = mIsOrderTaken == false;
+  return isRefused ? mSettledAt : std::max(mSettledAt, mOrderedAt + kOrderEffectLimit);
 }
 
 // A former coordinator's writes hold for the revisions that it knew, and this plan may
@@ -344,7 +381,8 @@
       continue;
     }
     auto known = mDatabases.find(it->mName);
-    bool isKnown = known != mDatabases.end() && known->second.mAskedAt >= since;
+    bool isKnown = known != mDatabases.end() && known->second.mAskedAt >= since &&
+                   known->second.mAskedAt > known->second.mRefusedAt;
     if (!isKnown) {
       isAnyMissing = true;
       continue;
--- a/test/core/PromotionTest.cpp
+++ b/test/core/PromotionTest.cpp
@@ -13,6 +13,9 @@
 
 constexpr TimePoint kStart{ seconds(1000) };
 constexpr Duration kStep = milliseconds(60);
+constexpr Duration kPromotionTime = milliseconds(300);
+// An order without an answer is with the platform by then, or never.
+constexpr Duration kLatestOrder = milliseconds(3000);
 
 struct FakeDatabase
 {
@@ -92,7 +95,7 @@
     }
     RunMemberWatch();
     RunPlan();
-    FinishPromotion();
+    FinishPromotions();
   }
 
   void Run(Duration aTime)
@@ -136,7 +139,18 @@
   int mOrders = 0;
   std::string mLastOrdered;
   std::string mOrderedWhileInUse;
+  std::string mLedWhileInUse;
   bool mAreOrdersLost = false;
+  // An order then gets no answer and may take effect later.
+  bool mAreOrdersHeld = false;
+  void LandOrders()
+  {
+    for (const auto& it : std::exchange(mHeldOrders, {})) {
+      if (mNow - it.mAt <= kLatestOrder) {
+        mPromotions.push_back({ it.mDatabase, mNow + kPromotionTime });
+      }
+    }
+  }
   // A write then gets no answer and may take effect later, while its condition holds.
   bool mAreWritesHeld = false;
   // Held writes take effect, those whose condition no longer holds do nothing.
@@ -281,14 +295,16 @@
     if (IsAnySending(aOrder.mDatabase)) {
       mOrderedWhileInUse = aOrder.mDatabase;
     }
-    if (mAreOrdersLost) {
+    if (mAreOrdersHeld) {
+      mHeldOrders.push_back({ aOrder.mDatabase, mNow });
+    }
+    if (mAreOrdersLost || mAreOrdersHeld) {
       mPlan.OnOrdered(std::nullopt, mNow);
       return;
     }
     bool isUp = mDatabases.at(aOrder.mDatabase).mIsUp;
     if (isUp) {
-      mPromoting = aOrder.mDatabase;
-      mPromotedAt = mNow + milliseconds(300);
+      mPromotions.push_back({ aOrder.mDatabase, mNow + kPromotionTime });
     }
     mPlan.OnOrdered(isUp, mNow);
   }
@@ -300,19 +316,45 @@
     }
   }
 
-  void FinishPromotion()
+  // The database, and when the order was sent or takes effect.
+  struct Order
   {
-    if (mPromoting.empty() || mNow < mPromotedAt) {
-      return;
+    std::string mDatabase;
+    TimePoint mAt{};
+  };
+
+  void FinishPromotions()
+  {
+    for (const auto& it : std::exchange(mPromotions, {})) {
+      if (mNow < it.mAt) {
+        mPromotions.push_back(it);
+      } else if (mDatabases.at(it.mDatabase).mIsUp) {
+        Lead(it.mDatabase);
+      }
     }
+  }
+
+  // For the present primary nothing changes.
+  void Lead(const std::string& aName)
+  {
+    std::string leader;
     std::uint64_t newest = 0;
     for (const auto& it : mDatabases) {
-      newest = std::max(newest, it.second.mReport.mTerm);
+      const auto& report = it.second.mReport;
+      if (report.mTerm > newest) {
+        newest = report.mTerm;
+        leader = it.first;
+      }
     }
-    auto& report = mDatabases.at(mPromoting).mReport;
+    if (leader == aName) {
+      return;
+    }
+    if (IsAnySending(aName)) {
+      mLedWhileInUse = aName;
+    }
+    auto& report = mDatabases.at(aName).mReport;
     report.mRole = DatabaseRole::Primary;
     report.mTerm = newest + 1;
-    mPromoting.clear();
   }
 
   PromotionPlan mPlan{ "g" };
@@ -322,8 +364,8 @@
   std::uint64_t mFence = 1;
   std::map<std::string, Duration> mSilence;
   std::vector<PromotionPlan::WriteRecord> mHeldWrites;
-  std::string mPromoting;
-  TimePoint mPromotedAt{};
+  std::vector<Order> mHeldOrders;
+  std::vector<Order> mPromotions;
 };
 
 } // namespace
@@ -346,6 +388,10 @@
   CPPUNIT_TEST(ANewCoordinatorReplacesAPrimaryThatStaysUnlisted);
   CPPUNIT_TEST(OrdersAgainWhenNothingHappens);
   CPPUNIT_TEST(AFormerCoordinatorsLateWriteFailsOnceAnotherHasOrdered);
+  CPPUNIT_TEST(AnUnansweredOrderIsRepeatedToTheSameDatabase);
+  CPPUNIT_TEST(AnotherIsNamedOnceAnUnansweredOrderHasNoEffectAnyMore);
+  CPPUNIT_TEST(ATargetThatDiedWithTheOrderIsReplaced);
+  CPPUNIT_TEST(ASuccessorWaitsForItsPredecessorsOrder);
   CPPUNIT_TEST(NeverOrdersWhileTheOldPrimaryIsInUse);
   CPPUNIT_TEST_SUITE_END();
 
@@ -535,6 +581,75 @@
     CPPUNIT_ASSERT(world.RunUntilServedBy("i-2", seconds(2)));
   }
 
+  // To i-1, after the primary's end.
+  static void HoldTheFirstOrder(World& aWorld)
+  {
+    aWorld.At("i-0").mIsUp = false;
+    aWorld.mAreOrdersHeld = true;
+    while (aWorld.mOrders == 0) {
+      aWorld.Step();
+    }
+    aWorld.mAreOrdersHeld = false;
+  }
+
+  // Guards against a second database named while the order to the first may take
+  // effect.
+  void AnUnansweredOrderIsRepeatedToTheSameDatabase()
+  {
+    World world(3);
+    world.Run(seconds(1));
+    HoldTheFirstOrder(world);
+    world.At("i-2").mReport.mReceived = { 1, 12 };
+    world.Run(milliseconds(2940));
+    world.LandOrders();
+    world.Run(seconds(2));
+    CPPUNIT_ASSERT_EQUAL(std::string(), world.mLedWhileInUse);
+    CPPUNIT_ASSERT_EQUAL(std::string("i-1"), world.Primary());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 2 }, world.mRecord.mTerm);
+  }
+
+  // Guards against the same where the first database is down for a while.
+  void AnotherIsNamedOnceAnUnansweredOrderHasNoEffectAnyMore()
+  {
+    World world(3);
+    world.Run(seconds(1));
+    HoldTheFirstOrder(world);
+    world.At("i-1").mIsUp = false;
+    world.Run(milliseconds(2940));
+    world.At("i-1").mIsUp = true;
+    world.LandOrders();
+    world.Run(seconds(2));
+    CPPUNIT_ASSERT_EQUAL(std::string(), world.mLedWhileInUse);
+    CPPUNIT_ASSERT_EQUAL(std::string("i-1"), world.Primary());
+  }
+
+  // Guards against orders to a dead database without end.
+  void ATargetThatDiedWithTheOrderIsReplaced()
+  {
+    World world(3);
+    world.Run(seconds(1));
+    HoldTheFirstOrder(world);
+    world.At("i-1").mIsUp = false;
+    CPPUNIT_ASSERT(world.RunUntilServedBy("i-2", seconds(6)));
+  }
+
+  // Guards against a predecessor's late order after the successor's to another
+  // database.
+  void ASuccessorWaitsForItsPredecessorsOrder()
+  {
+    World world(3);
+    world.Run(seconds(1));
+    HoldTheFirstOrder(world);
+    world.ReplaceCoordinator();
+    world.At("i-1").mIsUp = false;
+    world.Run(milliseconds(2940));
+    world.At("i-1").mIsUp = true;
+    world.LandOrders();
+    world.Run(seconds(2));
+    CPPUNIT_ASSERT_EQUAL(std::string(), world.mLedWhileInUse);
+    CPPUNIT_ASSERT_EQUAL(std::string("i-1"), world.Primary());
+  }
+
   // Daemons lose the store, the coordinator and the primary in any order; databases die
   // and come back; coordinators follow each other.
   void NeverOrdersWhileTheOldPrimaryIsInUse()
@@ -545,7 +660,7 @@
       for (int n = 0; n < 25; ++n) {
         auto daemon = "d" + std::to_string(*rc::gen::inRange(0, 4));
         auto database = "i-" + std::to_string(*rc::gen::inRange(0, 3));
-        switch (*rc::gen::inRange(0, 11)) {
+        switch (*rc::gen::inRange(0, 13)) {
           case 0:
             world.mDaemons[daemon].mReadsStore ^= true;
             break;
@@ -574,15 +689,23 @@
             world.LandWrites();
             break;
           case 9:
+            world.mAreOrdersHeld ^= true;
+            break;
+          case 10:
+            world.LandOrders();
+            break;
+          case 11:
             // Long enough for records to be removed.
             world.Run(seconds(*rc::gen::inRange(0, 25)));
             RC_ASSERT(world.mOrderedWhileInUse.empty());
+            RC_ASSERT(world.mLedWhileInUse.empty());
             break;
           default:
             world.mDoesStoreAnswer ^= true;
         }
         world.Run(milliseconds(*rc::gen::inRange(60, 2500)));
         RC_ASSERT(world.mOrderedWhileInUse.empty());
+        RC_ASSERT(world.mLedWhileInUse.empty());
       }
     }));
   }
