--- a/include/sesameway/Promotion.h
+++ b/include/sesameway/Promotion.h
@@ -209,8 +209,7 @@
   TimePoint mChangingSince{};
   TimePoint mClosedAt{};
   std::set<std::string> mStoodDown;
-  // A record of this revision may still be replaced by a write other than the naming of
-  // this plan's target.
+  // A write under way may still replace a record of this revision.
   std::uint64_t mNamedAfter = 0;
   // The last order of the change; empty: none yet.
   std::string mOrdered;
--- a/src/core/Promotion.cpp
+++ b/src/core/Promotion.cpp
@@ -324,8 +324,9 @@
   return isRefused ? mSettledAt : std::max(mSettledAt, mOrderedAt + kOrderEffectLimit);
 }
 
-// A former coordinator's writes hold for the revisions that it knew, and this plan may
-// have sent one that ends the change. Both fail once a later revision names the target.
+// A former coordinator's writes hold for the revisions that it knew, and so do this
+// plan's own, which may end the change or name another database. All fail once a later
+// revision names the target.
 bool PromotionPlan::HasNamed(const std::string& aTarget,
                              const GroupRecord& aRecord,
                              std::uint64_t aRevision,
@@ -439,7 +440,6 @@
   if (Find(aAround, aRecord.mPrimary) != nullptr && aNow >= mWriteAgainAt) {
     aActions.emplace_back(OrderDemotion{ aRecord.mPrimary, term });
   }
-  mNamedAfter = aRevision;
   Write(std::move(record), aRevision, aNow, aActions);
   return true;
 }
@@ -467,6 +467,7 @@
     return;
   }
   mWriteAgainAt = aNow + kWriteLimit;
+  mNamedAfter = aRevision;
   aActions.emplace_back(WriteRecord{ std::move(aRecord), aRevision });
 }
 
