Orders that may take effect late count beyond their change and coordinator

A database that leads is not recorded while an order to another one is open. Ruled out: that each new coordinator waits, which made ReplacesAPrimaryThatIsGone and TakesTheReplicaWithTheLongestLog fail (3 s).

--- a/include/sesameway/Leadership.h
+++ b/include/sesameway/Leadership.h
@@ -49,6 +49,8 @@
   std::uint64_t mFence = 0;
   // Counts the times a target was named, so that each one is a change.
   std::uint64_t mNaming = 0;
+  // An order of that coordinator's may yet take effect.
+  bool mIsOrderOpen = false;
   bool operator==(const GroupRecord&) const = default;
 };
 
--- a/include/sesameway/Promotion.h
+++ b/include/sesameway/Promotion.h
@@ -181,6 +181,8 @@
                 const Surroundings& aAround) const;
   // From when on no order that was sent can take effect any more.
   TimePoint SettledAt() const;
+  // The same once the change is over, or another has begun.
+  TimePoint SettledAfterwards() const;
   std::vector<std::string> NotStoodDown(const Surroundings& aAround) const;
   bool FinishIfTaken(const GroupRecord& aRecord,
                      std::uint64_t aRevision,
@@ -211,6 +213,8 @@
   std::set<std::string> mStoodDown;
   // A write under way may still replace a record of this revision.
   std::uint64_t mNamedAfter = 0;
+  // By this plan, in any change.
+  bool mHasNamedAny = false;
   // The last order of the change; empty: none yet.
   std::string mOrdered;
   TimePoint mOrderedAt{};
--- a/src/core/Leadership.cpp
+++ b/src/core/Leadership.cpp
@@ -66,6 +66,7 @@
   record.mTarget = TextIn(*table, "target");
   record.mFence = NumberIn(*table, "fence");
   record.mNaming = NumberIn(*table, "naming");
+  record.mIsOrderOpen = (*table)["order_open"].value_or(false);
   return record;
 }
 
@@ -80,6 +81,7 @@
     { "target", aRecord.mTarget },
     { "fence", Signed(aRecord.mFence) },
     { "naming", Signed(aRecord.mNaming) },
+    { "order_open", aRecord.mIsOrderOpen },
   });
 }
 
--- a/src/core/Promotion.cpp
+++ b/src/core/Promotion.cpp
@@ -62,6 +62,11 @@
   if (mStartedAt == TimePoint{}) {
     mStartedAt = aNow;
   }
+  // A predecessor may have sent an order until this plan began.
+  bool isOwn = mHasNamedAny && aRecord.mFence == aAround.mFence;
+  if (aRecord.mIsOrderOpen && !isOwn) {
+    mSettledAt = std::max(mSettledAt, mStartedAt + kOrderEffectLimit);
+  }
   if (aRevision == 0) {
     StepLearning(aAround, aNow, actions);
   } else if (aRecord.mPhase == GroupPhase::Serving) {
@@ -177,6 +182,7 @@
   auto record = aRecord;
   record.mPhase = GroupPhase::Changing;
   record.mTarget.clear();
+  record.mIsOrderOpen = aNow < SettledAfterwards();
   ++record.mChange;
   Write(std::move(record), aRevision, aNow, aActions);
 }
@@ -249,12 +255,7 @@
     mClosedAt = TimePoint{};
     mStoodDown.clear();
     mNamedAfter = aRevision;
-    // A predecessor may have ordered its target just now. An order of the former change
-    // that was taken has had its effect.
-    bool isInherited = !aRecord.mTarget.empty();
-    mSettledAt = isInherited     ? aNow + kOrderEffectLimit
-                 : mIsOrderTaken ? mSettledAt
-                                 : SettledAt();
+    mSettledAt = SettledAfterwards();
     mOrdered.clear();
     mOrderedAt = TimePoint{};
     mIsOrderTaken.reset();
@@ -282,6 +283,8 @@
     record.mTarget = target;
     record.mFence = aAround.mFence;
     ++record.mNaming;
+    record.mIsOrderOpen = true;
+    mHasNamedAny = true;
     Write(std::move(record), aRevision, aNow, aActions);
     return;
   }
@@ -336,6 +339,12 @@
   return isOwn && aRevision > mNamedAfter;
 }
 
+// An order that was taken has had its effect by then.
+TimePoint PromotionPlan::SettledAfterwards() const
+{
+  return mIsOrderTaken == true ? mSettledAt : SettledAt();
+}
+
 std::vector<std::string> PromotionPlan::NotStoodDown(const Surroundings& aAround) const
 {
   std::vector<std::string> left;
@@ -432,9 +441,14 @@
   if (found == nullptr) {
     return false;
   }
+  // An order to another database may yet replace this one.
+  if (found->mName != aRecord.mTarget && aNow < SettledAt()) {
+    return false;
+  }
   auto record = aRecord;
   record.mPhase = GroupPhase::Serving;
   record.mTarget.clear();
+  record.mIsOrderOpen = aNow < SettledAfterwards();
   record.mPrimary = found->mName;
   record.mTerm = term;
   if (Find(aAround, aRecord.mPrimary) != nullptr && aNow >= mWriteAgainAt) {
--- a/test/core/LeadershipTest.cpp
+++ b/test/core/LeadershipTest.cpp
@@ -24,7 +24,7 @@
 
   static GroupRecord Record(GroupPhase aPhase, std::uint64_t aChange)
   {
-    return { "g", aPhase, aChange, 3, "i-1", "", 4, 2 };
+    return { "g", aPhase, aChange, 3, "i-1", "", 4, 2, true };
   }
 
   static CoordinatorLease Holder(TimePoint aNow, std::uint64_t aRevision)
--- a/test/core/PromotionTest.cpp
+++ b/test/core/PromotionTest.cpp
@@ -393,6 +393,7 @@
   CPPUNIT_TEST(ATargetThatDiedWithTheOrderIsReplaced);
   CPPUNIT_TEST(ASuccessorWaitsForItsPredecessorsOrder);
   CPPUNIT_TEST(NeverOrdersWhileTheOldPrimaryIsInUse);
+  CPPUNIT_TEST(NoPromotionTakesEffectWhileAnotherPrimaryIsInUse);
   CPPUNIT_TEST_SUITE_END();
 
   void RecordsTheFirstPrimary()
@@ -709,6 +710,43 @@
       }
     }));
   }
+
+  // Orders and writes without an answer take effect late, databases come and go, and
+  // coordinators follow each other, all within a few changes.
+  void NoPromotionTakesEffectWhileAnotherPrimaryIsInUse()
+  {
+    CPPUNIT_ASSERT(rc::check([] {
+      World world(2);
+      world.Run(seconds(1));
+      auto isDrawn = [](int aOneIn) { return *rc::gen::inRange(0, aOneIn) == 0; };
+      for (int n = 0; n < 60; ++n) {
+        auto& database = world.At("i-" + std::to_string(*rc::gen::inRange(0, 3)));
+        world.mAreWritesHeld = isDrawn(4);
+        world.mAreOrdersHeld = isDrawn(3);
+        if (isDrawn(3)) {
+          database.mIsUp ^= true;
+        }
+        if (isDrawn(3)) {
+          database.mReport.mReceived.mPosition += 1;
+        }
+        if (isDrawn(5)) {
+          world.At(world.Primary()).mIsUp = false;
+        }
+        if (isDrawn(8)) {
+          world.ReplaceCoordinator();
+        }
+        if (isDrawn(5)) {
+          world.LandOrders();
+        }
+        if (isDrawn(5)) {
+          world.LandWrites();
+        }
+        world.Run(milliseconds(*rc::gen::inRange(0, 900)));
+        RC_ASSERT(world.mOrderedWhileInUse.empty());
+        RC_ASSERT(world.mLedWhileInUse.empty());
+      }
+    }));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PromotionTest);
