A former primary is demoted until a status shows that it follows

The old primary got one order to demote, when its successor was recorded, and no other. One that was cut off or suspended then went on as primary when it was back, if it could not reach the new one.

While the primary serves, each other database of the group is now asked for its status until one, asked after the change, shows a replica or a term no older; one that shows an older primary is ordered to demote again. 300 ms to 4.8 s apart, doubled each time; so also after a change of coordinator. A database that has left the list is asked no more. The first order stays as it was.

--- a/include/sesameway/Promotion.h
+++ b/include/sesameway/Promotion.h
@@ -32,7 +32,8 @@
 // coordinator names the database in the record, so that no write that its predecessor
 // has sent can be taken afterwards. An order without an answer may take effect late, so
 // it is repeated to the same database; another one is named after a refusal only, and
-// once no earlier order can take effect any more.
+// once no earlier order can take effect any more. While the primary serves, the other
+// databases are asked until each is known to follow, and former primaries demoted.
 class PromotionPlan
 {
 public:
@@ -142,6 +143,9 @@
     TimePoint mProbedAt{};
     // When the platform last refused to promote it.
     TimePoint mRefusedAt{};
+    // Whether it follows the primary that serves, and how often it was asked for that.
+    int mFollowChecks = 0;
+    TimePoint mNextFollowCheck{};
   };
   struct Fellow
   {
@@ -160,6 +164,10 @@
                     const Surroundings& aAround,
                     TimePoint aNow,
                     Actions& aActions);
+  void DemoteFormer(const GroupRecord& aRecord,
+                    const Surroundings& aAround,
+                    TimePoint aNow,
+                    Actions& aActions);
   Cause FindCause(const GroupRecord& aRecord,
                   const Surroundings& aAround,
                   TimePoint aNow) const;
@@ -206,6 +214,9 @@
   // No write is sent before this; the last one may still be under way.
   TimePoint mWriteAgainAt{};
   Cause mCause = Cause::None;
+  // The last change whose end this plan has seen.
+  std::uint64_t mServedChange = 0;
+  TimePoint mServingSince{};
   // The change that the following belongs to.
   std::uint64_t mChange = 0;
   TimePoint mChangingSince{};
--- a/src/core/Promotion.cpp
+++ b/src/core/Promotion.cpp
@@ -38,6 +38,9 @@
 constexpr Duration kOrderEffectLimit = milliseconds(3500);
 // A refused database that answers nothing for this long is passed over.
 constexpr Duration kRefusedPatience = milliseconds(1000);
+// Between questions whether a database follows; doubled each time up to the limit.
+constexpr Duration kFollowCheckFloor = milliseconds(300);
+constexpr Duration kFollowCheckLimit = milliseconds(4800);
 constexpr Duration kWriteLimit = milliseconds(1200);
 
 const ListedDatabase* Find(const PromotionPlan::Surroundings& aAround,
@@ -174,6 +177,7 @@
     mAskedFellowsAt = aNow;
     aActions.emplace_back(AskFellows{});
   }
+  DemoteFormer(aRecord, aAround, aNow, aActions);
   auto cause = FindCause(aRecord, aAround, aNow);
   if (cause == Cause::None || ChooseTarget(aRecord, aAround, aNow).empty()) {
     return;
@@ -187,6 +191,39 @@
   Write(std::move(record), aRevision, aNow, aActions);
 }
 
+// The order to demote may be lost, or its database be back later, under another
+// coordinator. One that follows is asked no more.
+void PromotionPlan::DemoteFormer(const GroupRecord& aRecord,
+                                 const Surroundings& aAround,
+                                 TimePoint aNow,
+                                 Actions& aActions)
+{
+  if (mServedChange != aRecord.mChange) {
+    mServedChange = aRecord.mChange;
+    mServingSince = aNow;
+    for (auto& it : mDatabases) {
+      it.second.mFollowChecks = 0;
+      it.second.mNextFollowCheck = aNow + kFollowCheckFloor;
+    }
+  }
+  for (const auto* it : aAround.mDatabases) {
+    auto& known = mDatabases[it->mName];
+    const auto& report = known.mReport;
+    bool isAnswered = known.mAskedAt >= mServingSince;
+    bool isNewer = report.mTerm >= aRecord.mTerm;
+    bool follows = isAnswered && (report.mRole == DatabaseRole::Replica || isNewer);
+    if (it->mName == aRecord.mPrimary || follows || aNow < known.mNextFollowCheck) {
+      continue;
+    }
+    known.mNextFollowCheck =
+      aNow + Doubled(kFollowCheckFloor, known.mFollowChecks++, kFollowCheckLimit);
+    if (isAnswered && report.mRole == DatabaseRole::Primary) {
+      aActions.emplace_back(OrderDemotion{ it->mName, aRecord.mTerm });
+    }
+    aActions.emplace_back(Probe{ it->mName });
+  }
+}
+
 PromotionPlan::Cause PromotionPlan::FindCause(const GroupRecord& aRecord,
                                               const Surroundings& aAround,
                                               TimePoint aNow) const
--- a/test/core/PromotionTest.cpp
+++ b/test/core/PromotionTest.cpp
@@ -136,8 +136,12 @@
   std::map<std::string, MemberRecord> mSeenMembers;
   bool mDoesCoordinatorFollow = true;
   bool mDoesStoreAnswer = true;
+  // Its statements get answers from the primary.
+  bool mDoesCoordinatorHear = false;
   int mOrders = 0;
   std::string mLastOrdered;
+  int mDemotions = 0;
+  int mProbes = 0;
   std::string mOrderedWhileInUse;
   std::string mLedWhileInUse;
   bool mAreOrdersLost = false;
@@ -235,6 +239,9 @@
                    it.second.mReachesPrimary;
       mSilence[it.first] = hears ? Duration::zero() : mSilence[it.first] + kStep;
     }
+    if (mDoesCoordinatorHear && mSilence["d0"] == Duration::zero()) {
+      mPlan.OnHeard(Primary(), mNow);
+    }
     mPlan.OnFellow("d0", mSilence["d0"], mNow);
     for (const auto& it : mPlan.Step(mRecord, mRevision, around, mNow)) {
       std::visit([this](const auto& aAction) { Do(aAction); }, it);
@@ -243,6 +250,7 @@
 
   void Do(const PromotionPlan::Probe& aProbe)
   {
+    ++mProbes;
     const auto& database = mDatabases.at(aProbe.mDatabase);
     if (database.mIsUp) {
       mPlan.OnReport(aProbe.mDatabase, database.mReport, mNow);
@@ -310,6 +318,10 @@
   }
   void Do(const PromotionPlan::OrderDemotion& aOrder)
   {
+    ++mDemotions;
+    if (!mDatabases.at(aOrder.mDatabase).mIsUp) {
+      return;
+    }
     auto& report = mDatabases.at(aOrder.mDatabase).mReport;
     if (report.mTerm < aOrder.mTerm) {
       report.mRole = DatabaseRole::Replica;
@@ -392,6 +404,9 @@
   CPPUNIT_TEST(AnotherIsNamedOnceAnUnansweredOrderHasNoEffectAnyMore);
   CPPUNIT_TEST(ATargetThatDiedWithTheOrderIsReplaced);
   CPPUNIT_TEST(ASuccessorWaitsForItsPredecessorsOrder);
+  CPPUNIT_TEST(AFormerPrimaryIsDemotedOnceItIsBack);
+  CPPUNIT_TEST(ASuccessorDemotesAFormerPrimary);
+  CPPUNIT_TEST(AFormerPrimaryThatIsGoneIsAskedSeldom);
   CPPUNIT_TEST(NeverOrdersWhileTheOldPrimaryIsInUse);
   CPPUNIT_TEST(NoPromotionTakesEffectWhileAnotherPrimaryIsInUse);
   CPPUNIT_TEST_SUITE_END();
@@ -651,6 +666,49 @@
     CPPUNIT_ASSERT_EQUAL(std::string("i-1"), world.Primary());
   }
 
+  // Guards against a former primary that goes on as it missed the one order to demote.
+  void AFormerPrimaryIsDemotedOnceItIsBack()
+  {
+    World world(3);
+    world.Run(seconds(1));
+    world.At("i-0").mIsUp = false;
+    CPPUNIT_ASSERT(world.RunUntilServedBy("i-1", seconds(3)));
+    world.Run(seconds(20));
+    world.At("i-0").mIsUp = true;
+    world.Run(seconds(6));
+    CPPUNIT_ASSERT(world.At("i-0").mReport.mRole == DatabaseRole::Replica);
+    auto demotions = world.mDemotions;
+    world.Run(seconds(20));
+    CPPUNIT_ASSERT_EQUAL(demotions, world.mDemotions);
+  }
+
+  // Guards against the same where the coordinator of the change is gone.
+  void ASuccessorDemotesAFormerPrimary()
+  {
+    World world(3);
+    world.Run(seconds(1));
+    world.At("i-0").mIsUp = false;
+    CPPUNIT_ASSERT(world.RunUntilServedBy("i-1", seconds(3)));
+    world.ReplaceCoordinator();
+    world.At("i-0").mIsUp = true;
+    world.Run(seconds(2));
+    CPPUNIT_ASSERT(world.At("i-0").mReport.mRole == DatabaseRole::Replica);
+  }
+
+  // Load: a former primary that is gone for good costs a question each few seconds.
+  void AFormerPrimaryThatIsGoneIsAskedSeldom()
+  {
+    World world(3);
+    world.Run(seconds(1));
+    world.At("i-0").mIsUp = false;
+    CPPUNIT_ASSERT(world.RunUntilServedBy("i-1", seconds(3)));
+    world.mDoesCoordinatorHear = true;
+    world.Run(seconds(10));
+    world.mProbes = 0;
+    world.Run(seconds(60));
+    CPPUNIT_ASSERT(world.mProbes <= 15);
+  }
+
   // Daemons lose the store, the coordinator and the primary in any order; databases die
   // and come back; coordinators follow each other.
   void NeverOrdersWhileTheOldPrimaryIsInUse()
