A replica's late answer does not date the head of the primary that it has become

Callers could see: a read with an age that lacks commits acknowledged longer ago than that. Change: only what was sent after the record in force came counts. Ruled out: heads told by fellows, which come from the same place; status questions, which are sent to the recorded primary. Evidence: AnswerSentToAReplicaDoesNotDateThePrimarysHead failed before.

--- a/src/proxy/DatabaseFleet.h
+++ b/src/proxy/DatabaseFleet.h
@@ -115,6 +115,8 @@
   struct Group
   {
     Leadership mLeadership;
+    // When the record in force came here.
+    TimePoint mRecordedAt{};
     HeadHistory mHeads;
     HeadQuestions mHeadQuestions;
     std::optional<ProposedHead> mProposed;
--- a/src/proxy/FleetHeads.cpp
+++ b/src/proxy/FleetHeads.cpp
@@ -23,7 +23,9 @@
                              TimePoint aSentAt)
 {
   auto& group = mGroups[aGroup];
-  bool isPrimary = group.mLeadership.Record().mPrimary == aDatabase;
+  // What was sent before the record may have been answered by a replica.
+  bool isPrimary =
+    group.mLeadership.Record().mPrimary == aDatabase && aSentAt >= group.mRecordedAt;
   if (!isPrimary || !aReply.mPosition) {
     return;
   }
--- a/src/proxy/FleetPrimary.cpp
+++ b/src/proxy/FleetPrimary.cpp
@@ -42,10 +42,12 @@
 
 void DatabaseFleet::OnChange(const GroupRecord& aRecord)
 {
+  auto& group = mGroups[aRecord.mGroup];
+  group.mRecordedAt = Clock::now();
   LeaveReplaced(aRecord.mGroup);
   auto leases = Replaced(aRecord.mGroup);
   // While the change is under way, standing down gives them some time.
-  bool isOver = !mGroups[aRecord.mGroup].mLeadership.IsChanging();
+  bool isOver = !group.mLeadership.IsChanging();
   if (leases.empty() || !isOver) {
     return;
   }
--- a/test/proxy/DatabaseFleetTest.cpp
+++ b/test/proxy/DatabaseFleetTest.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(ConfirmationBegunBeforeAChangeDoesNotCountAfterIt);
   CPPUNIT_TEST(StandingDownWaitsForStatementsOnConnectionsOfAnEarlierEntry);
   CPPUNIT_TEST(ConnectionOfAnEarlierEntryIsNotTakenForOneOfTheNewEntry);
+  CPPUNIT_TEST(AnswerSentToAReplicaDoesNotDateThePrimarysHead);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -156,6 +157,22 @@
     CPPUNIT_ASSERT_EQUAL(1, busy->mBatches);
   }
 
+  // Guards against reads with an age that lack commits: a replica's answer, late, is
+  // taken for the head of the primary that the replica has become.
+  void AnswerSentToAReplicaDoesNotDateThePrimarysHead()
+  {
+    auto& world = *mWorld;
+    Lease lease;
+    lease.mDatabase = "new";
+    lease.mGroup = "g";
+    auto sentAt = Clock::now() - milliseconds(1);
+    world.ReplacePrimary("new");
+    world.mFleet.OnReply(lease, FleetWorld::Done(), sentAt);
+    CPPUNIT_ASSERT(!world.mFleet.HeadSince("g", sentAt));
+    world.mFleet.OnReply(lease, FleetWorld::Done(), Clock::now());
+    CPPUNIT_ASSERT(world.mFleet.HeadSince("g", sentAt).has_value());
+  }
+
   std::unique_ptr<FleetWorld> mWorld;
   std::shared_ptr<CallerRun> mSession;
 };
