A head proposed for a replaced primary is not confirmed by a round about the next one

Change: what was proposed ends with the record. Ruled out: rounds begun before a change, which confirm nothing after it. Not seen in a run of the daemons.

--- a/src/proxy/FleetPrimary.cpp
+++ b/src/proxy/FleetPrimary.cpp
@@ -44,6 +44,7 @@
 {
   auto& group = mGroups[aRecord.mGroup];
   group.mRecordedAt = Clock::now();
+  group.mProposed.reset();
   LeaveReplaced(aRecord.mGroup);
   auto leases = Replaced(aRecord.mGroup);
   // While the change is under way, standing down gives them some time.
--- a/test/proxy/DatabaseFleetTest.cpp
+++ b/test/proxy/DatabaseFleetTest.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(StandingDownWaitsForStatementsOnConnectionsOfAnEarlierEntry);
   CPPUNIT_TEST(ConnectionOfAnEarlierEntryIsNotTakenForOneOfTheNewEntry);
   CPPUNIT_TEST(AnswerSentToAReplicaDoesNotDateThePrimarysHead);
+  CPPUNIT_TEST(HeadProposedForAReplacedPrimaryIsNotConfirmedByTheNextOne);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -173,6 +174,30 @@
     CPPUNIT_ASSERT(world.mFleet.HeadSince("g", sentAt).has_value());
   }
 
+  // Guards against reads with an age that lack commits: the head of a replaced primary
+  // counts as confirmed, by databases that were asked about the next one.
+  void HeadProposedForAReplacedPrimaryIsNotConfirmedByTheNextOne()
+  {
+    auto& world = *mWorld;
+    Lease lease;
+    lease.mDatabase = "old";
+    lease.mGroup = "g";
+    auto sentAt = Clock::now();
+    world.StandDown(2);
+    world.mFleet.OnReply(lease, FleetWorld::Done(), sentAt);
+    world.ReplacePrimary("new");
+    lease.mDatabase = "new";
+    lease.mIsPrimary = true;
+    lease.mChange = 2;
+    bool isConfirmed = false;
+    world.mFleet.Confirm(lease, Clock::now(), [&](bool aIsSo) { isConfirmed = aIsSo; });
+    for (const char* it : { "old", "third" }) {
+      world.mDatabases.Accept(it)->Answer(FleetWorld::Status("replica 2"));
+    }
+    CPPUNIT_ASSERT(isConfirmed);
+    CPPUNIT_ASSERT(!world.mFleet.HeadSince("g", sentAt));
+  }
+
   std::unique_ptr<FleetWorld> mWorld;
   std::shared_ptr<CallerRun> mSession;
 };
