A connection that breaks while its answer is confirmed ends its statement or transaction

Without contact an answer waits until the group's other databases confirm the primary. If its connection broke meanwhile, the session gave the connection up and waited on. Then a confirmed write or commit read the group of a connection that was gone (the process ended, all its sessions with it), and a confirmed statement inside a transaction left it open, so that the next one was sent on another connection, outside of any transaction.

Now the statement counts as lost: unknown if it may have taken effect, sent again or aborted otherwise. A confirmation belongs to the connection whose answer it is about.

Ruled out: breaks while a batch is under way (they end it), and connections that the fleet closes at a change of primary (their confirmation fails).

--- a/src/proxy/CallerOutcome.cpp
+++ b/src/proxy/CallerOutcome.cpp
@@ -82,21 +82,24 @@
     return;
   }
   mIsConfirming = true;
-  mBackend.Confirm(
-    *mLease,
-    mHost.Now(),
-    [self = shared_from_this(), number = mAttempt->mNumber, reply = std::move(aReply)](
-      bool aIsConfirmed) {
-      if (!self->IsAt(number) || !std::exchange(self->mIsConfirming, false)) {
-        return;
-      }
-      if (aIsConfirmed) {
-        self->mAttempt->mIsConfirmed = true;
-        self->Deliver(reply);
-      } else {
-        self->OnUnconfirmed();
-      }
-    });
+  mBackend.Confirm(*mLease,
+                   mHost.Now(),
+                   [self = shared_from_this(),
+                    number = mAttempt->mNumber,
+                    lease = mLease,
+                    reply = std::move(aReply)](bool aIsConfirmed) {
+                     // The attempt may have lost the connection and be at another one.
+                     bool isStill = self->IsAt(number) && self->mLease == lease;
+                     if (!isStill || !std::exchange(self->mIsConfirming, false)) {
+                       return;
+                     }
+                     if (aIsConfirmed) {
+                       self->mAttempt->mIsConfirmed = true;
+                       self->Deliver(reply);
+                     } else {
+                       self->OnUnconfirmed();
+                     }
+                   });
 }
 
 // What was sent last may have taken effect for good, though no answer can be given.
--- a/src/proxy/CallerSend.cpp
+++ b/src/proxy/CallerSend.cpp
@@ -64,7 +64,12 @@
   mLease = *aLease;
   mLease->mLink->OnBroken([weak = weak_from_this(), lease = mLease] {
     auto self = weak.lock();
-    if (self && self->mLease == lease) {
+    if (!self || self->mLease != lease) {
+      return;
+    }
+    if (std::exchange(self->mIsConfirming, false)) {
+      self->OnLost();
+    } else {
       self->GiveBack(true);
       self->EndTransaction("connection_lost");
     }
--- a/test/proxy/CallerRunTest.cpp
+++ b/test/proxy/CallerRunTest.cpp
@@ -27,6 +27,9 @@
   CPPUNIT_TEST(AnUnconfirmedWriteIsUnknown);
   CPPUNIT_TEST(ALateConfirmationBelongsToNoLaterStatement);
   CPPUNIT_TEST(ALateVerdictBelongsToNoLaterStatement);
+  CPPUNIT_TEST(AConnectionThatBreaksBeforeItsAnswerIsConfirmedIsLost);
+  CPPUNIT_TEST(ATransactionThatBreaksBeforeAnAnswerIsConfirmedIsOver);
+  CPPUNIT_TEST(AConfirmationOfABrokenConnectionBelongsToNoOther);
   CPPUNIT_TEST(AnIdleTransactionIsRolledBack);
   CPPUNIT_TEST(ACallerThatLeavesKeepsNoConnection);
   CPPUNIT_TEST(ReadsAfterAnOwnCommitMustSeeIt);
@@ -272,6 +275,54 @@
     AssertCode(ReplyCode::Unknown);
   }
 
+  // Guards against a daemon that ends: a confirmed answer whose connection is gone.
+  void AConnectionThatBreaksBeforeItsAnswerIsConfirmedIsLost()
+  {
+    mBackend->mMayUsePrimary = false;
+    Ask(RequestKind::Write, "WRITE a b");
+    auto link = mBackend->Grant("i-1", true);
+    link->Answer(Done("d1"));
+    link->BreakWhileIdle();
+    AssertCode(ReplyCode::Unknown);
+    mBackend->mConfirmations.front()(true);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mStream->mAnswers.size());
+  }
+
+  // Guards against a statement outside of its transaction, on another connection.
+  void ATransactionThatBreaksBeforeAnAnswerIsConfirmedIsOver()
+  {
+    Ask(RequestKind::Begin);
+    Ask(RequestKind::Write, "WRITE a b");
+    auto link = mBackend->Grant("i-1", true);
+    link->Answer(Done("-", TransactionState::Open));
+    link->Answer(Done("d1", TransactionState::Open));
+    mBackend->mMayUsePrimary = false;
+    Ask(RequestKind::Write, "WRITE c d");
+    link->Answer(Done("d2", TransactionState::Open));
+    link->BreakWhileIdle();
+    mBackend->mConfirmations.front()(true);
+    AssertCode(ReplyCode::Aborted);
+    Ask(RequestKind::Write, "WRITE e f");
+    CPPUNIT_ASSERT(mBackend->mWanted.empty());
+  }
+
+  // Guards against an answer of the broken connection for that of the one after it.
+  void AConfirmationOfABrokenConnectionBelongsToNoOther()
+  {
+    mBackend->mMayUsePrimary = false;
+    Ask(RequestKind::Read, "READ a");
+    auto link = mBackend->Grant("i-1", true);
+    link->Answer(Done("d1"));
+    link->BreakWhileIdle();
+    mHost->Pass(milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mBackend->mWanted.size());
+    mBackend->Grant("i-1", true)->Answer(Done("d2"));
+    mBackend->mConfirmations.front()(true);
+    CPPUNIT_ASSERT(mStream->mAnswers.empty());
+    mBackend->mConfirmations.back()(true);
+    CPPUNIT_ASSERT_EQUAL(std::string("d2"), mStream->mAnswers.back().mDigest);
+  }
+
   // The first statement's confirmation comes after its deadline, while the second one
   // waits for its own.
   void ALateConfirmationBelongsToNoLaterStatement()
