Reads that wait at a replica that leaves are placed elsewhere

What callers' databases could see: DRAIN, a read that reaches a database long after it has said that it leaves. A read that waited there for its connection stayed, up to its route's time limit; only reads that came later went elsewhere.

Ruled out: transactions that have begun there, which may end; statements at a primary that leaves, which wait for its successor (see the change of primary).

Before: proxy_tests DatabaseFleetTest::ReadThatWaitedAtAReplicaThatLeavesRunsElsewhere, 0 passed, 1 failed (sent there).

--- a/src/proxy/DatabaseFleet.cpp
+++ b/src/proxy/DatabaseFleet.cpp
@@ -70,6 +70,9 @@
   pool->SetListed(aDatabase);
   pool->SetLimit(LimitOf(aDatabase));
   mGroups[aDatabase.mGroup];
+  if (aDatabase.mIsLeaving) {
+    LeaveReplaced(aDatabase.mGroup);
+  }
 }
 
 void DatabaseFleet::OnRemoved(const std::string& aName)
--- a/src/proxy/DatabaseFleet.h
+++ b/src/proxy/DatabaseFleet.h
@@ -146,7 +146,10 @@
   void OnChange(const GroupRecord& aRecord);
   // Whether it waits at a database that is not the primary any more.
   bool IsReplaced(const Pending& aPending) const;
-  // Those that wait at a database that is not the primary any more wait for the next.
+  // Whether it waits at a replica that takes no new work.
+  bool IsAtLeavingReplica(const Pending& aPending) const;
+  // Those that wait at a database that is not the primary any more, or at a replica
+  // that leaves, are placed anew.
   void LeaveReplaced(const std::string& aGroup);
   // Connections to a primary that are in use and not in force any more.
   std::vector<LeasePtr> Replaced(const std::string& aGroup) const;
--- a/src/proxy/FleetPrimary.cpp
+++ b/src/proxy/FleetPrimary.cpp
@@ -117,12 +117,18 @@
          !leadership->IsInForce(aPending.mDatabase, aPending.mChange);
 }
 
+bool DatabaseFleet::IsAtLeavingReplica(const Pending& aPending) const
+{
+  const auto* listed = mList.Find(aPending.mDatabase);
+  return !aPending.mIsAtPrimary && listed != nullptr && listed->mIsLeaving;
+}
+
 void DatabaseFleet::LeaveReplaced(const std::string& aGroup)
 {
   for (auto& it : mPending) {
     auto& pending = it.second;
     bool isPlaced = pending.mNeed.mGroup == aGroup && !pending.mDatabase.empty();
-    if (!isPlaced || !IsReplaced(pending)) {
+    if (!isPlaced || !(IsReplaced(pending) || IsAtLeavingReplica(pending))) {
       continue;
     }
     if (auto pool = FindPool(pending.mDatabase)) {
--- a/test/proxy/DatabaseFleetTest.cpp
+++ b/test/proxy/DatabaseFleetTest.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(ConnectionOfAnEarlierEntryIsNotTakenForOneOfTheNewEntry);
   CPPUNIT_TEST(AnswerSentToAReplicaDoesNotDateThePrimarysHead);
   CPPUNIT_TEST(HeadProposedForAReplacedPrimaryIsNotConfirmedByTheNextOne);
+  CPPUNIT_TEST(ReadThatWaitedAtAReplicaThatLeavesRunsElsewhere);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -198,6 +199,27 @@
     CPPUNIT_ASSERT(!world.mFleet.HeadSince("g", sentAt));
   }
 
+  // Guards against new work at a database that leaves: a read waited there for its
+  // connection.
+  void ReadThatWaitedAtAReplicaThatLeavesRunsElsewhere()
+  {
+    auto& world = *mWorld;
+    Lease lease;
+    lease.mDatabase = "old";
+    lease.mGroup = "g";
+    lease.mIsPrimary = true;
+    lease.mChange = 1;
+    world.mFleet.OnReply(lease, FleetWorld::Done(), Clock::now());
+    mSession = world.Connect("aged");
+    world.Ask(*mSession, RequestKind::Read, "READ a");
+    CPPUNIT_ASSERT(world.mDatabases.IsOpening("new"));
+    world.mFleet.OnListed(
+      { "new", "g", "z", "10.0.0.1:1", 3, true, DatabaseRole::Unknown, 0 });
+    CPPUNIT_ASSERT_EQUAL(0, world.mDatabases.Accept("new")->mBatches);
+    world.mFleet.Tick();
+    CPPUNIT_ASSERT_EQUAL(1, world.mDatabases.Accept("third")->mBatches);
+  }
+
   std::unique_ptr<FleetWorld> mWorld;
   std::shared_ptr<CallerRun> mSession;
 };
