A property over the real fleet, pools and sessions: nothing of a replaced primary is believed

Random schedules of callers' statements and transactions, connections that open late or break, batches that are run now and answered later, changes of primary with and without standing down, records that come late, in one or two steps, databases listed anew, contact gained. Checked from what callers and databases see: no answer "done" of what ran as at the primary after another one was promoted, nothing refused as not kept that has taken effect, one batch at a time on a connection, no statement outside of its transaction or in another session's.

--- /dev/null
+++ b/test/proxy/ModelDatabases.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "proxy/Transport.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace sesameway::test {
+
+// A database as it sees itself: after a promotion elsewhere it goes on as a primary
+// until it is told.
+struct ModelDatabase
+{
+  bool mLeads = false;
+  std::uint64_t mTerm = 1;
+  std::uint64_t mPosition = 1;
+};
+
+// A batch is sent, run and answered in steps of the test's. One that is under way when
+// the connection is closed may still be run.
+class ModelLink : public proxy::DatabaseLink
+{
+public:
+  using OnFault = std::function<void(const std::string&)>;
+  ModelLink(std::string aDatabase, OnFault aOnFault)
+    : mDatabase(std::move(aDatabase))
+    , mOnFault(std::move(aOnFault))
+  {
+  }
+
+  void Send(std::vector<ConnectionCommand> aCommands, Replies aDone) override
+  {
+    if (mIsClosed) {
+      aDone(std::vector<ConnectionReply>(aCommands.size()));
+      return;
+    }
+    if (mDone) {
+      mOnFault("a batch is sent while another one is under way");
+    }
+    mSent = std::move(aCommands);
+    mReplies.clear();
+    mDone = std::move(aDone);
+  }
+  void Close() override
+  {
+    mOnBroken = nullptr;
+    Break();
+  }
+  void OnBroken(std::function<void()> aCallback) override
+  {
+    mOnBroken = std::move(aCallback);
+  }
+
+  void Break()
+  {
+    mIsClosed = true;
+    if (mDone) {
+      std::exchange(mDone, nullptr)(std::vector<ConnectionReply>(mSent.size()));
+    } else if (mOnBroken) {
+      std::exchange(mOnBroken, nullptr)();
+    }
+  }
+  bool IsToRun() const { return !mSent.empty() && mReplies.empty(); }
+  bool IsToAnswer() const { return mDone != nullptr && !mReplies.empty(); }
+  void Answer() { std::exchange(mDone, nullptr)(std::exchange(mReplies, {})); }
+
+  std::string mDatabase;
+  OnFault mOnFault;
+  std::vector<ConnectionCommand> mSent;
+  // Of what has been run.
+  std::vector<ConnectionReply> mReplies;
+  Replies mDone;
+  std::function<void()> mOnBroken;
+  bool mIsClosed = false;
+  TransactionState mTransaction = TransactionState::None;
+  // Whether the open transaction was begun as at the primary, whose it is, whether it
+  // has written.
+  bool mIsAsAtPrimary = false;
+  std::string mOwner;
+  bool mHasWritten = false;
+};
+
+// Connections open when the test says so.
+class ModelDatabases : public proxy::Databases
+{
+public:
+  void Open(const proxy::LinkTarget& aTarget, TimePoint, Opened aDone) override
+  {
+    mOpenings.emplace_back(aTarget.mDatabase, std::move(aDone));
+  }
+
+  std::deque<std::pair<std::string, Opened>> mOpenings;
+  std::vector<std::shared_ptr<ModelLink>> mLinks;
+};
+
+} // namespace sesameway::test
--- /dev/null
+++ b/test/proxy/PrimaryChangeWorld.h
@@ -0,0 +1,575 @@
+#pragma once
+
+#include "FakeBackend.h"
+#include "ModelDatabases.h"
+#include "proxy/DatabaseFleet.h"
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <ostream>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace sesameway::test {
+
+enum class ChangeStepKind : std::uint8_t
+{
+  Ask,
+  // A connection opens.
+  Accept,
+  // A database runs a batch, or answers one that it has run.
+  Run,
+  Answer,
+  BeginChange,
+  StandDown,
+  Promote,
+  Finish,
+  // The daemon gets the next record of the change, or only the latest.
+  Deliver,
+  GainContact,
+  Demote,
+  // A database is listed anew at another address.
+  List,
+  Break,
+  Leave,
+  Pass,
+  EndTransaction,
+  WaitForStandingDown,
+};
+inline constexpr NameTable<ChangeStepKind, 17> kChangeStepNames{ {
+  "ask",
+  "accept",
+  "run",
+  "answer",
+  "begin_change",
+  "stand_down",
+  "promote",
+  "finish",
+  "deliver",
+  "gain_contact",
+  "demote",
+  "list",
+  "break",
+  "leave",
+  "pass",
+  "end_transaction",
+  "wait_for_standing_down",
+} };
+
+struct ChangeStep
+{
+  ChangeStepKind mKind = ChangeStepKind::Ask;
+  // Chooses among what the step may be done to.
+  std::size_t mPick = 0;
+};
+inline std::ostream& operator<<(std::ostream& aOut, const ChangeStep& aStep)
+{
+  return aOut << kChangeStepNames.Name(aStep.mKind) << ' ' << aStep.mPick;
+}
+
+// One daemon's fleet, pools and sessions, three databases, and a coordinator that
+// changes the primary as the daemon's contact allows. Notes what callers and databases
+// see amiss.
+class PrimaryChangeWorld
+{
+public:
+  PrimaryChangeWorld(bool aHasContact, std::uint32_t aConnections)
+    : mFleet(mLoop,
+             mDatabases,
+             proxy::Settings(),
+             [](const std::string& aRow) { return ReadStatus(aRow); })
+    , mHasContact(aHasContact)
+  {
+    // The fleet reads the real clock.
+    mHost.mNow = Clock::now();
+    auto catalogue = std::make_shared<Catalogue>(*mHost.mCatalogue);
+    catalogue->mServices["s"] = { "s", {}, { { "g", {}, 3, aConnections } } };
+    mHost.mCatalogue = catalogue;
+    mFleet.SetCatalogue(catalogue);
+    for (const char* it : kNames) {
+      List(it);
+      mModels[it];
+    }
+    mModels[mPrimary].mLeads = true;
+    if (aHasContact) {
+      mFleet.SetContact(Clock::now());
+    }
+    mFleet.OnRecord({ "g", GroupPhase::Serving, 1, 1, mPrimary, {} }, 1);
+    for (const char* it : { "strict", "strict", "aged", "aged" }) {
+      Connect(it);
+    }
+  }
+
+  // A step that can't be done changes nothing.
+  void Do(const ChangeStep& aStep)
+  {
+    using Kind = ChangeStepKind;
+    auto pick = aStep.mPick;
+    switch (aStep.mKind) {
+      case Kind::Ask:
+        return Ask(*mCallers[pick % mCallers.size()], pick / mCallers.size());
+      case Kind::Accept:
+        return Accept(pick);
+      case Kind::Run:
+        return RunOne(pick);
+      case Kind::Answer:
+        return AnswerOne(pick);
+      case Kind::BeginChange:
+        return BeginChange(pick);
+      case Kind::StandDown:
+        return AskToStandDown();
+      case Kind::Promote:
+        return Promote();
+      case Kind::Finish:
+        return Finish();
+      case Kind::Deliver:
+        return Deliver(pick % 2 == 0);
+      case Kind::GainContact:
+        return GainContact();
+      case Kind::Demote:
+        return Demote(pick);
+      case Kind::List:
+        return List(kNames[pick % kNames.size()]);
+      case Kind::Break:
+        return BreakOne(pick);
+      case Kind::Leave:
+        return Leave(pick);
+      case Kind::Pass:
+        return mHost.Pass(milliseconds(20));
+      case Kind::EndTransaction:
+        return mCallers[pick % mCallers.size()]->mRun->EndTransaction("idle_too_long");
+      case Kind::WaitForStandingDown:
+        return WaitForStandingDown();
+    }
+  }
+  void Tick()
+  {
+    mFleet.Tick();
+    mLoop.Io().restart();
+    mLoop.Io().poll();
+  }
+
+  const std::vector<std::string>& Faults() const { return mFaults; }
+  int Done() const { return mDone; }
+  int Promotions() const { return mPromotions; }
+
+private:
+  static constexpr std::array<const char*, 3> kNames{ { "old", "new", "third" } };
+
+  struct Request
+  {
+    proxy::RequestKind mKind = proxy::RequestKind::Read;
+    bool mIsInTransaction = false;
+    // A write outside of transactions, or a commit, has been run for good.
+    bool mHasTakenEffect = false;
+    std::optional<ReplyCode> mOutcome;
+  };
+  struct Run
+  {
+    std::string mRequest;
+    std::string mDatabase;
+    // Another database had been promoted.
+    bool mIsAfterPromotion = false;
+    bool mIsAsAtPrimary = false;
+  };
+  struct Caller : FakeStream
+  {
+    explicit Caller(PrimaryChangeWorld& aWorld)
+      : mWorld(aWorld)
+    {
+    }
+    void Answer(const ConnectionReply& aReply) override
+    {
+      mWorld.OnAnswer(*this, aReply);
+    }
+
+    PrimaryChangeWorld& mWorld;
+    std::string mName;
+    std::shared_ptr<proxy::CallerRun> mRun;
+    // Of the request at hand; empty between requests.
+    std::string mRequest;
+    TransactionState mTransaction = TransactionState::None;
+    bool mOnlyReads = false;
+  };
+
+  // "ROLE TERM".
+  static std::optional<DatabaseReport> ReadStatus(const std::string& aRow)
+  {
+    auto blank = aRow.find(' ');
+    DatabaseReport report;
+    report.mRole =
+      kDatabaseRoleNames.Find(aRow.substr(0, blank)).value_or(DatabaseRole::Unknown);
+    report.mTerm = std::stoull(aRow.substr(blank + 1));
+    return report;
+  }
+  void Fault(const std::string& aText) { mFaults.push_back(aText); }
+
+  // Callers.
+
+  void Connect(const std::string& aRoute)
+  {
+    auto caller = std::make_shared<Caller>(*this);
+    caller->mName = "c" + std::to_string(++mConnected);
+    caller->mRun = std::make_shared<proxy::CallerRun>(caller, mHost, mFleet);
+    caller->mRun->OnConnect(aRoute, "key");
+    mCallers.push_back(caller);
+  }
+  void Leave(std::size_t aPick)
+  {
+    auto n = aPick % mCallers.size();
+    mCallers[n]->mRun->OnGone();
+    mGone.push_back(mCallers[n]);
+    mCallers.erase(mCallers.begin() + static_cast<std::ptrdiff_t>(n));
+    Connect(aPick % 2 == 0 ? "strict" : "aged");
+  }
+  static proxy::RequestKind Choose(const Caller& aCaller, std::size_t aPick)
+  {
+    using Kind = proxy::RequestKind;
+    if (aCaller.mTransaction == TransactionState::None) {
+      return std::array{
+        Kind::Read, Kind::Write, Kind::Write, Kind::Begin, Kind::BeginRead
+      }[aPick % 5];
+    }
+    if (aCaller.mTransaction == TransactionState::Failed) {
+      return Kind::Rollback;
+    }
+    auto write = aCaller.mOnlyReads ? Kind::Read : Kind::Write;
+    return std::array{ Kind::Read,   write,        write,
+                       Kind::Commit, Kind::Commit, Kind::Rollback }[aPick % 6];
+  }
+  void Ask(Caller& aCaller, std::size_t aPick)
+  {
+    if (!aCaller.mRequest.empty()) {
+      return;
+    }
+    proxy::CallerRequest request;
+    request.mKind = Choose(aCaller, aPick);
+    request.mId = aCaller.mName + "." + std::to_string(++mAsked);
+    request.mText = std::string(proxy::kRequestKindNames.Name(request.mKind));
+    bool isInTransaction = aCaller.mTransaction != TransactionState::None;
+    mRequests[request.mId] = { request.mKind, isInTransaction, false, {} };
+    aCaller.mOnlyReads = isInTransaction
+                           ? aCaller.mOnlyReads
+                           : request.mKind == proxy::RequestKind::BeginRead;
+    aCaller.mRequest = request.mId;
+    aCaller.mRun->OnRequest(std::move(request));
+  }
+  void OnAnswer(Caller& aCaller, const ConnectionReply& aReply)
+  {
+    auto id = std::exchange(aCaller.mRequest, {});
+    aCaller.mTransaction = aReply.mTransaction;
+    auto& request = mRequests[id];
+    if (request.mOutcome) {
+      Fault(id + " is answered twice");
+    }
+    request.mOutcome = aReply.mCode;
+    if (request.mHasTakenEffect && IsNotRun(aReply.mCode)) {
+      Fault(id + " has taken effect and is refused");
+    }
+    if (aReply.mCode == ReplyCode::Done && !aReply.mRows.empty()) {
+      ++mDone;
+      CheckDone(id, mRuns[std::stoul(aReply.mRows.front())]);
+    }
+  }
+  void CheckDone(const std::string& aId, const Run& aRun)
+  {
+    if (aRun.mRequest != aId) {
+      Fault(aId + " gets the answer of " + aRun.mRequest);
+    }
+    bool isWrite = mRequests[aId].mKind == proxy::RequestKind::Write;
+    bool needsPrimary = isWrite || aRun.mIsAsAtPrimary;
+    if (aRun.mIsAfterPromotion && needsPrimary) {
+      Fault(aId + " is done at " + aRun.mDatabase + ", which had been replaced");
+    }
+  }
+
+  // Databases.
+
+  void List(const std::string& aName)
+  {
+    auto address = "10.0.0.1:" + std::to_string(++mListed);
+    mFleet.OnListed({ aName, "g", "z", address, 3, false, DatabaseRole::Unknown, 0 });
+  }
+  void Accept(std::size_t aPick)
+  {
+    auto& openings = mDatabases.mOpenings;
+    if (openings.empty()) {
+      return;
+    }
+    auto it = openings.begin() + static_cast<std::ptrdiff_t>(aPick % openings.size());
+    auto opening = std::move(*it);
+    openings.erase(it);
+    auto link = std::make_shared<ModelLink>(
+      opening.first, [this](const std::string& aText) { Fault(aText); });
+    mDatabases.mLinks.push_back(link);
+    opening.second(proxy::DatabaseLinkPtr(link));
+  }
+  template<class Condition>
+  std::shared_ptr<ModelLink> Find(std::size_t aPick, Condition aIsMeant) const
+  {
+    std::vector<std::shared_ptr<ModelLink>> found;
+    for (const auto& it : mDatabases.mLinks) {
+      if (aIsMeant(*it)) {
+        found.push_back(it);
+      }
+    }
+    return found.empty() ? nullptr : found[aPick % found.size()];
+  }
+  void RunOne(std::size_t aPick)
+  {
+    if (auto link = Find(aPick, [](const auto& aIt) { return aIt.IsToRun(); })) {
+      auto commands = link->mSent;
+      for (const auto& it : commands) {
+        link->mReplies.push_back(RunCommand(*link, it));
+      }
+      if (link->mIsClosed) {
+        link->mSent.clear();
+      }
+    }
+  }
+  void AnswerOne(std::size_t aPick)
+  {
+    if (auto link = Find(aPick, [](const auto& aIt) { return aIt.IsToAnswer(); })) {
+      link->mSent.clear();
+      link->Answer();
+    }
+  }
+  void BreakOne(std::size_t aPick)
+  {
+    if (auto link = Find(aPick, [](const auto& aIt) { return !aIt.mIsClosed; })) {
+      link->Break();
+    }
+  }
+  ConnectionReply RunCommand(ModelLink& aLink, const ConnectionCommand& aCommand)
+  {
+    auto& model = mModels[aLink.mDatabase];
+    ConnectionReply reply;
+    reply.mCode = ReplyCode::Done;
+    switch (aCommand.mKind) {
+      case CommandKind::Begin:
+      case CommandKind::BeginRead:
+        if (aCommand.mKind == CommandKind::Begin && !model.mLeads) {
+          reply.mCode = ReplyCode::ReadOnly;
+          break;
+        }
+        if (aLink.mTransaction != TransactionState::None) {
+          Fault("a transaction begins in another one");
+        }
+        aLink.mTransaction = TransactionState::Open;
+        aLink.mIsAsAtPrimary = !aCommand.mAfter;
+        aLink.mHasWritten = false;
+        aLink.mOwner.clear();
+        break;
+      case CommandKind::Rollback:
+        aLink.mTransaction = TransactionState::None;
+        break;
+      case CommandKind::Status:
+        reply.mRows.push_back((model.mLeads ? "primary " : "replica ") +
+                              std::to_string(model.mTerm));
+        break;
+      case CommandKind::Read:
+      case CommandKind::Write:
+      case CommandKind::Commit:
+        reply.mCode = RunStatement(aLink, aCommand, model);
+        reply.mRows.push_back(std::to_string(mRuns.size() - 1));
+        break;
+      default:
+        break;
+    }
+    reply.mTransaction = aLink.mTransaction;
+    reply.mPosition = LogPosition{ model.mTerm, model.mPosition };
+    return reply;
+  }
+  ReplyCode RunStatement(ModelLink& aLink,
+                         const ConnectionCommand& aCommand,
+                         ModelDatabase& aModel)
+  {
+    bool isInside = aLink.mTransaction != TransactionState::None;
+    mRuns.push_back({ aCommand.mId,
+                      aLink.mDatabase,
+                      aLink.mDatabase != mPrimary,
+                      isInside ? aLink.mIsAsAtPrimary : !aCommand.mAfter });
+    CheckPlace(aLink, aCommand.mId, isInside);
+    if (IsWrite(aCommand.mKind) && !aModel.mLeads) {
+      aLink.mTransaction = isInside ? TransactionState::Failed : TransactionState::None;
+      return ReplyCode::ReadOnly;
+    }
+    if (aCommand.mKind == CommandKind::Commit) {
+      return RunCommit(aLink, aCommand.mId, aModel);
+    }
+    if (IsWrite(aCommand.mKind)) {
+      aLink.mHasWritten = isInside;
+      if (!isInside) {
+        TakeEffect(aCommand.mId, aModel);
+      }
+    }
+    return ReplyCode::Done;
+  }
+  ReplyCode RunCommit(ModelLink& aLink, const std::string& aId, ModelDatabase& aModel)
+  {
+    bool isGood = aLink.mTransaction == TransactionState::Open &&
+                  (aModel.mLeads || !aLink.mHasWritten);
+    aLink.mTransaction = TransactionState::None;
+    if (isGood && aLink.mHasWritten) {
+      TakeEffect(aId, aModel);
+    }
+    return isGood ? ReplyCode::Done : ReplyCode::Aborted;
+  }
+  void CheckPlace(ModelLink& aLink, const std::string& aId, bool aIsInside)
+  {
+    auto owner = aId.substr(0, aId.find('.'));
+    if (mRequests[aId].mIsInTransaction != aIsInside) {
+      Fault(aId + (aIsInside ? " runs inside of" : " runs outside of") +
+            " a transaction");
+    }
+    if (aIsInside && aLink.mOwner.empty()) {
+      aLink.mOwner = owner;
+    }
+    if (aIsInside && aLink.mOwner != owner) {
+      Fault(aId + " runs in the transaction of " + aLink.mOwner);
+    }
+  }
+  void TakeEffect(const std::string& aId, ModelDatabase& aModel)
+  {
+    auto& request = mRequests[aId];
+    request.mHasTakenEffect = true;
+    ++aModel.mPosition;
+    if (request.mOutcome && IsNotRun(*request.mOutcome)) {
+      Fault(aId + " takes effect after it was refused");
+    }
+  }
+
+  // The coordinator.
+
+  void BeginChange(std::size_t aPick)
+  {
+    if (mIsChanging) {
+      return;
+    }
+    mIsChanging = true;
+    mIsPromoted = false;
+    mHasStoodDown = false;
+    mIsAsked = false;
+    mTarget = kNames[aPick % kNames.size()];
+    if (mTarget == mPrimary) {
+      mTarget = kNames[(aPick + 1) % kNames.size()];
+    }
+    ++mChange;
+    Write(GroupPhase::Changing, mPrimary);
+  }
+  void Write(GroupPhase aPhase, const std::string& aPrimary)
+  {
+    mRecords.push_back({ "g", aPhase, mChange, mModels[aPrimary].mTerm, aPrimary, {} });
+  }
+  void AskToStandDown()
+  {
+    if (!mIsChanging || mIsPromoted || std::exchange(mIsAsked, true)) {
+      return;
+    }
+    mFleet.StandDown(
+      "g", mChange, [this, change = mChange] { mHasStoodDown |= change == mChange; });
+  }
+  // What the coordinator waits for: the daemon has stood down, or has no contact, or
+  // knows of the change.
+  bool IsClosed() const
+  {
+    return mHasStoodDown || !mHasContact || mDelivered == mRecords.size();
+  }
+  void Promote()
+  {
+    if (!mIsChanging || mIsPromoted || !IsClosed()) {
+      return;
+    }
+    mIsPromoted = true;
+    ++mPromotions;
+    auto& target = mModels[mTarget];
+    target.mTerm = mModels[mPrimary].mTerm + 1;
+    target.mPosition = mModels[mPrimary].mPosition;
+    target.mLeads = true;
+    mPrimary = mTarget;
+  }
+  void Finish()
+  {
+    if (mIsChanging && mIsPromoted) {
+      mIsChanging = false;
+      Write(GroupPhase::Serving, mPrimary);
+    }
+  }
+  void Deliver(bool aIsLastOnly)
+  {
+    if (mDelivered == mRecords.size()) {
+      return;
+    }
+    mDelivered = aIsLastOnly ? mRecords.size() : mDelivered + 1;
+    // The first record has revision 1.
+    mFleet.OnRecord(mRecords[mDelivered - 1], mDelivered + 1);
+  }
+  void GainContact()
+  {
+    if (mDelivered == mRecords.size()) {
+      mHasContact = true;
+      mFleet.SetContact(Clock::now());
+    }
+  }
+  // A former primary, or a replica, hears of the newest term.
+  void Demote(std::size_t aPick)
+  {
+    std::string name = kNames[aPick % kNames.size()];
+    if (name == mPrimary) {
+      return;
+    }
+    mModels[name] = { false, mModels[mPrimary].mTerm, mModels[mPrimary].mPosition };
+    for (const auto& it : mDatabases.mLinks) {
+      if (it->mDatabase == name && it->mTransaction == TransactionState::Open) {
+        it->mTransaction = TransactionState::Failed;
+      }
+    }
+  }
+  void WaitForStandingDown()
+  {
+    if (!mIsAsked || mHasStoodDown || !mIsChanging) {
+      return;
+    }
+    auto until = Clock::now() + milliseconds(500);
+    mLoop.Io().restart();
+    while (!mHasStoodDown && Clock::now() < until) {
+      mLoop.Io().run_one_for(milliseconds(20));
+    }
+  }
+
+  proxy::Loop mLoop;
+  FakeHost mHost;
+  ModelDatabases mDatabases;
+  proxy::DatabaseFleet mFleet;
+  std::map<std::string, ModelDatabase> mModels;
+  std::vector<std::shared_ptr<Caller>> mCallers;
+  std::vector<std::shared_ptr<Caller>> mGone;
+  std::map<std::string, Request> mRequests;
+  std::vector<Run> mRuns;
+  std::vector<std::string> mFaults;
+  int mConnected = 0;
+  int mAsked = 0;
+  int mListed = 0;
+  int mDone = 0;
+  int mPromotions = 0;
+
+  // The truth.
+  std::string mPrimary = "old";
+  std::uint64_t mChange = 1;
+  bool mIsChanging = false;
+  bool mIsPromoted = false;
+  std::string mTarget;
+  // What the daemon knows of it.
+  bool mHasContact;
+  bool mIsAsked = false;
+  bool mHasStoodDown = false;
+  std::vector<GroupRecord> mRecords;
+  std::size_t mDelivered = 0;
+};
+
+} // namespace sesameway::test
