SessionPropertyTest names its draws in order

The order of two draws in one call's arguments is the compiler's choice, so that kept schedules would be others elsewhere.

--- a/test/core/SessionPropertyTest.cpp
+++ b/test/core/SessionPropertyTest.cpp
@@ -97,7 +97,8 @@
   {
     std::size_t choice = Choose(96);
     if (choice == 0) {
-      mGroup.Failover(Choose(3), Choose(4) != 0);
+      bool promotes = Choose(4) != 0;
+      mGroup.Failover(Choose(3), promotes);
     } else if (choice == 1) {
       // A home that is cut off hears of nothing, and serves on.
       auto home = Choose(kHomes);
