Known red: out of contact a replaced primary may be confirmed beside an unknown new one

A daemon out of contact asks the databases that it knows. In the test one of them left and a new one came after its contact had ended; the new one leads, the old primary is cut off from the coordinator and not demoted, and the one replica that is known has not heard of the new term: the answer would be believed. The test states the daemon's rule in the model (DatabaseFleet::OnRoundAnswer has the same one); it is not run over the fleet.

Test name: PromotionTest::ADaemonOutOfContactDoesNotConfirmBesideADatabaseThatItDoesNotKnow assertion failed - Expression: !world.DoesConfirm("d2", known)

--- a/test/core/PromotionTest.cpp
+++ b/test/core/PromotionTest.cpp
@@ -24,6 +24,8 @@
   bool mIsUp = true;
   // The coordinator's list has it.
   bool mIsListed = true;
+  // By the coordinator.
+  bool mIsReached = true;
 };
 
 struct FakeDaemon
@@ -118,6 +120,21 @@
     return false;
   }
 
+  // Whether the daemon, out of contact, believes the answers of the primary that it
+  // knows: that one still leads, and each other that it knows follows the old term.
+  bool DoesConfirm(const std::string& aDaemon,
+                   const std::vector<std::string>& aKnown) const
+  {
+    const auto& record = mDaemons.at(aDaemon).mLeadership.Record();
+    return std::all_of(aKnown.begin(), aKnown.end(), [&](const auto& aName) {
+      const auto& database = mDatabases.at(aName);
+      const auto& report = database.mReport;
+      bool isPrimary = aName == record.mPrimary;
+      auto role = isPrimary ? DatabaseRole::Primary : DatabaseRole::Replica;
+      return database.mIsUp && report.mRole == role && report.mTerm <= record.mTerm;
+    });
+  }
+
   // Another daemon becomes the coordinator and knows only the store's record.
   void ReplaceCoordinator()
   {
@@ -252,7 +269,7 @@
   {
     ++mProbes;
     const auto& database = mDatabases.at(aProbe.mDatabase);
-    if (database.mIsUp) {
+    if (database.mIsUp && database.mIsReached) {
       mPlan.OnReport(aProbe.mDatabase, database.mReport, mNow);
     }
   }
@@ -319,7 +336,8 @@
   void Do(const PromotionPlan::OrderDemotion& aOrder)
   {
     ++mDemotions;
-    if (!mDatabases.at(aOrder.mDatabase).mIsUp) {
+    const auto& database = mDatabases.at(aOrder.mDatabase);
+    if (!database.mIsUp || !database.mIsReached) {
       return;
     }
     auto& report = mDatabases.at(aOrder.mDatabase).mReport;
@@ -407,6 +425,7 @@
   CPPUNIT_TEST(AFormerPrimaryIsDemotedOnceItIsBack);
   CPPUNIT_TEST(ASuccessorDemotesAFormerPrimary);
   CPPUNIT_TEST(AFormerPrimaryThatIsGoneIsAskedSeldom);
+  CPPUNIT_TEST(ADaemonOutOfContactDoesNotConfirmBesideADatabaseThatItDoesNotKnow);
   CPPUNIT_TEST(NeverOrdersWhileTheOldPrimaryIsInUse);
   CPPUNIT_TEST(NoPromotionTakesEffectWhileAnotherPrimaryIsInUse);
   CPPUNIT_TEST_SUITE_END();
@@ -709,6 +728,28 @@
     CPPUNIT_ASSERT(world.mProbes <= 15);
   }
 
+  // Guards against answers of a replaced primary that are believed out of contact, as
+  // the new one came after contact was lost and the replica in between has not heard of
+  // it.
+  void ADaemonOutOfContactDoesNotConfirmBesideADatabaseThatItDoesNotKnow()
+  {
+    World world(3);
+    world.Run(seconds(1));
+    world.mDatabases.erase("i-2");
+    world.mDaemons["d2"].mIsReached = false;
+    world.mDaemons["d2"].mReadsStore = false;
+    std::vector<std::string> known{ "i-0", "i-1" };
+    world.mDatabases["i-3"] = world.At("i-1");
+    world.At("i-3").mListed.mName = "i-3";
+    world.At("i-3").mReport.mReceived = { 1, 12 };
+    for (const char* it : { "d0", "d1" }) {
+      world.mDaemons[it].mReachesPrimary = false;
+    }
+    world.At("i-0").mIsReached = false;
+    CPPUNIT_ASSERT(world.RunUntilServedBy("i-3", seconds(8)));
+    CPPUNIT_ASSERT(!world.DoesConfirm("d2", known));
+  }
+
   // Daemons lose the store, the coordinator and the primary in any order; databases die
   // and come back; coordinators follow each other.
   void NeverOrdersWhileTheOldPrimaryIsInUse()
