One comparison with the change in force for leases and for statements that wait

Clean-up after a read of the whole change; no behaviour is changed. IsInForce and IsReplaced looked the group up and compared the change each in its own way, the second without asking whether the group is known (it always is, as placing makes it). Both call one function now. LeaveReplaced, which since also takes statements away from replicas that leave, is called WithdrawPlacements.

--- a/src/proxy/DatabaseFleet.cpp
+++ b/src/proxy/DatabaseFleet.cpp
@@ -71,7 +71,7 @@
   pool->SetLimit(LimitOf(aDatabase));
   mGroups[aDatabase.mGroup];
   if (aDatabase.mIsLeaving) {
-    LeaveReplaced(aDatabase.mGroup);
+    WithdrawPlacements(aDatabase.mGroup);
   }
 }
 
--- a/src/proxy/DatabaseFleet.h
+++ b/src/proxy/DatabaseFleet.h
@@ -144,13 +144,17 @@
   void PollEnding(const std::shared_ptr<Ending>& aEnding);
   // A record of the group is new.
   void OnChange(const GroupRecord& aRecord);
+  // Whether the database is the group's primary by this change, as far as is known.
+  bool IsInForce(const std::string& aGroup,
+                 const std::string& aDatabase,
+                 std::uint64_t aChange) const;
   // Whether it waits at a database that is not the primary any more.
   bool IsReplaced(const Pending& aPending) const;
   // Whether it waits at a replica that takes no new work.
   bool IsAtLeavingReplica(const Pending& aPending) const;
   // Those that wait at a database that is not the primary any more, or at a replica
   // that leaves, are placed anew.
-  void LeaveReplaced(const std::string& aGroup);
+  void WithdrawPlacements(const std::string& aGroup);
   // Connections to a primary that are in use and not in force any more.
   std::vector<LeasePtr> Replaced(const std::string& aGroup) const;
   // Of answers that came after `aSince`, about the primary in force.
--- a/src/proxy/FleetPrimary.cpp
+++ b/src/proxy/FleetPrimary.cpp
@@ -45,7 +45,7 @@
   auto& group = mGroups[aRecord.mGroup];
   group.mRecordedAt = Clock::now();
   group.mProposed.reset();
-  LeaveReplaced(aRecord.mGroup);
+  WithdrawPlacements(aRecord.mGroup);
   auto leases = Replaced(aRecord.mGroup);
   // While the change is under way, standing down gives them some time.
   bool isOver = !group.mLeadership.IsChanging();
@@ -89,7 +89,7 @@
                               std::function<void()> aDone)
 {
   mGroups[aGroup].mLeadership.StandDown(aChange);
-  LeaveReplaced(aGroup);
+  WithdrawPlacements(aGroup);
   PollEnding(std::make_shared<Ending>(
     aGroup, aChange, Clock::now() + kStandDownGrace, std::move(aDone), mLoop));
 }
@@ -112,9 +112,8 @@
 
 bool DatabaseFleet::IsReplaced(const Pending& aPending) const
 {
-  const auto* leadership = FindLeadership(aPending.mNeed.mGroup);
   return aPending.mIsAtPrimary &&
-         !leadership->IsInForce(aPending.mDatabase, aPending.mChange);
+         !IsInForce(aPending.mNeed.mGroup, aPending.mDatabase, aPending.mChange);
 }
 
 bool DatabaseFleet::IsAtLeavingReplica(const Pending& aPending) const
@@ -123,7 +122,7 @@
   return !aPending.mIsAtPrimary && listed != nullptr && listed->mIsLeaving;
 }
 
-void DatabaseFleet::LeaveReplaced(const std::string& aGroup)
+void DatabaseFleet::WithdrawPlacements(const std::string& aGroup)
 {
   for (auto& it : mPending) {
     auto& pending = it.second;
@@ -161,14 +160,18 @@
   return leadership != nullptr && leadership->MayUse(mContact, Clock::now());
 }
 
+bool DatabaseFleet::IsInForce(const std::string& aGroup,
+                              const std::string& aDatabase,
+                              std::uint64_t aChange) const
+{
+  const auto* leadership = FindLeadership(aGroup);
+  return leadership != nullptr && leadership->IsInForce(aDatabase, aChange);
+}
+
 bool DatabaseFleet::IsInForce(const Lease& aLease) const
 {
-  if (!aLease.mIsPrimary) {
-    return true;
-  }
-  const auto* leadership = FindLeadership(aLease.mGroup);
-  return leadership != nullptr &&
-         leadership->IsInForce(aLease.mDatabase, aLease.mChange);
+  return !aLease.mIsPrimary ||
+         IsInForce(aLease.mGroup, aLease.mDatabase, aLease.mChange);
 }
 
 bool DatabaseFleet::MayBelieve(const Lease& aLease) const
