--- a/test/proxy/FakeDatabases.h
+++ b/test/proxy/FakeDatabases.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "FakeBackend.h"
+#include "ModelDatabases.h"
 #include "proxy/DatabaseFleet.h"
 
 #include <algorithm>
@@ -59,9 +60,7 @@
 {
 public:
   FleetWorld()
-    : mFleet(mLoop, mDatabases, Settings(), [this](const std::string& aRow) {
-      return ReadStatus(aRow);
-    })
+    : mFleet(mLoop, mDatabases, Settings(), ReadStatusRow)
   {
     // The fleet reads the real clock.
     mHost.mNow = Clock::now();
@@ -160,16 +159,6 @@
 
 private:
   using Settings = proxy::Settings;
-  // "ROLE TERM".
-  static std::optional<DatabaseReport> ReadStatus(const std::string& aRow)
-  {
-    auto blank = aRow.find(' ');
-    DatabaseReport report;
-    report.mRole =
-      kDatabaseRoleNames.Find(aRow.substr(0, blank)).value_or(DatabaseRole::Unknown);
-    report.mTerm = std::stoull(aRow.substr(blank + 1));
-    return report;
-  }
 };
 
 } // namespace sesameway::test
--- a/test/proxy/ModelDatabases.h
+++ b/test/proxy/ModelDatabases.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "proxy/Transport.h"
+#include "sesameway/Promotion.h"
 
 #include <deque>
 #include <functional>
@@ -14,6 +15,17 @@
 
 namespace sesameway::test {
 
+// A status row of a fake database: "ROLE TERM".
+inline std::optional<DatabaseReport> ReadStatusRow(const std::string& aRow)
+{
+  auto blank = aRow.find(' ');
+  DatabaseReport report;
+  report.mRole =
+    kDatabaseRoleNames.Find(aRow.substr(0, blank)).value_or(DatabaseRole::Unknown);
+  report.mTerm = std::stoull(aRow.substr(blank + 1));
+  return report;
+}
+
 // A database as it sees itself: after a promotion elsewhere it goes on as a primary
 // until it is told.
 struct ModelDatabase
--- a/test/proxy/PrimaryChangeWorld.h
+++ b/test/proxy/PrimaryChangeWorld.h
@@ -79,10 +79,7 @@
 {
 public:
   PrimaryChangeWorld(bool aHasContact, std::uint32_t aConnections)
-    : mFleet(mLoop,
-             mDatabases,
-             proxy::Settings(),
-             [](const std::string& aRow) { return ReadStatus(aRow); })
+    : mFleet(mLoop, mDatabases, proxy::Settings(), ReadStatusRow)
     , mHasContact(aHasContact)
   {
     // The fleet reads the real clock.
@@ -197,16 +194,6 @@
     bool mOnlyReads = false;
   };
 
-  // "ROLE TERM".
-  static std::optional<DatabaseReport> ReadStatus(const std::string& aRow)
-  {
-    auto blank = aRow.find(' ');
-    DatabaseReport report;
-    report.mRole =
-      kDatabaseRoleNames.Find(aRow.substr(0, blank)).value_or(DatabaseRole::Unknown);
-    report.mTerm = std::stoull(aRow.substr(blank + 1));
-    return report;
-  }
   void Fault(const std::string& aText) { mFaults.push_back(aText); }
 
   // Callers.
