--- a/test/core/StoreWatchersTest.cpp
+++ b/test/core/StoreWatchersTest.cpp
@@ -2,6 +2,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <map>
+#include <string>
+#include <vector>
+
 using namespace sesameway;
 
 // Covers a region with many daemons, each of which must learn of changes within seconds
@@ -13,6 +17,10 @@
   CPPUNIT_TEST(TheNextDaemonWatchesWhileTheFirstIsSilent);
   CPPUNIT_TEST(AnotherPeerIsAskedAfterAFailure);
   CPPUNIT_TEST(ADaemonWithoutPeersWatchesTheStore);
+  CPPUNIT_TEST(NoDaemonAnswersMoreOthersAsTheRegionGrows);
+  CPPUNIT_TEST(ChangesReachAllDaemonsOfALargeRegionInTime);
+  CPPUNIT_TEST(TheChildrenOfALostDaemonAskDifferentOnes);
+  CPPUNIT_TEST(TheLossOfTheFirstDaemonMakesFewOthersWatch);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr TimePoint kStart{ seconds(1000) };
@@ -60,6 +68,99 @@
     CPPUNIT_ASSERT_EQUAL(std::string("d0"), third.PeerToAsk());
   }
 
+  // Half of a fleet of 590 daemons in two regions.
+  static constexpr int kLargeRegion = 295;
+
+  static std::vector<std::string> LargeRegion()
+  {
+    std::vector<std::string> names;
+    for (int n = 0; n < kLargeRegion; ++n) {
+      names.push_back("d" + std::to_string(1000 + n));
+    }
+    return names;
+  }
+
+  static std::vector<StoreWatchers> WatchersOf(const std::vector<std::string>& aNames)
+  {
+    std::vector<StoreWatchers> watchers;
+    for (const auto& it : aNames) {
+      watchers.emplace_back(it);
+      watchers.back().SetDaemons(aNames);
+    }
+    return watchers;
+  }
+
+  // Number of daemons that ask each daemon.
+  static std::map<std::string, std::size_t> Askers(
+    std::vector<StoreWatchers>& aWatchers)
+  {
+    std::map<std::string, std::size_t> askers;
+    for (const auto& it : aWatchers) {
+      ++askers[it.PeerToAsk()];
+    }
+    askers.erase("");
+    return askers;
+  }
+
+  void NoDaemonAnswersMoreOthersAsTheRegionGrows()
+  {
+    auto names = LargeRegion();
+    auto watchers = WatchersOf(names);
+    for (const auto& it : Askers(watchers)) {
+      CPPUNIT_ASSERT(it.second <= kMaxAskingDaemons);
+    }
+  }
+
+  void ChangesReachAllDaemonsOfALargeRegionInTime()
+  {
+    auto names = LargeRegion();
+    std::map<std::string, std::string> parents;
+    for (auto& it : WatchersOf(names)) {
+      parents[names[parents.size()]] = it.PeerToAsk();
+    }
+    for (const auto& it : names) {
+      int hops = 0;
+      for (auto at = parents[it]; !at.empty(); at = parents[at]) {
+        ++hops;
+      }
+      CPPUNIT_ASSERT(hops <= 3);
+    }
+  }
+
+  void TheChildrenOfALostDaemonAskDifferentOnes()
+  {
+    auto names = LargeRegion();
+    auto watchers = WatchersOf(names);
+    const auto& lost = names[3];
+    for (auto& it : watchers) {
+      if (it.PeerToAsk() == lost) {
+        it.OnNoAnswer();
+      }
+    }
+    auto askers = Askers(watchers);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, askers[lost]);
+    for (const auto& it : askers) {
+      CPPUNIT_ASSERT(it.second <= kMaxAskingDaemons + 2);
+    }
+  }
+
+  void TheLossOfTheFirstDaemonMakesFewOthersWatch()
+  {
+    auto names = LargeRegion();
+    auto watchers = WatchersOf(names);
+    // The second daemon takes over once its information is old, and needs a call of
+    // 700 ms until it has fresh information for the others.
+    auto taken = kStart;
+    while (!watchers[1].MustWatch(kStart, taken)) {
+      taken += milliseconds(10);
+    }
+    int watching = 0;
+    for (std::size_t n = 1; n < watchers.size(); ++n) {
+      watching += watchers[n].MustWatch(kStart, taken + milliseconds(400)) ? 1 : 0;
+    }
+    CPPUNIT_ASSERT(watching <= static_cast<int>(kMaxAskingDaemons));
+  }
+
   void ADaemonWithoutPeersWatchesTheStore()
   {
     StoreWatchers watchers("d0");
