Rank an organisation's lenders when a statement comes, not with each share table

Cause: each new table of shares ranked all holders for every organisation, 190 times 295 at the large deployment, and the table changes many times while a fleet starts.

--- a/src/daemon/Admission.cpp
+++ b/src/daemon/Admission.cpp
@@ -1,6 +1,7 @@
 #include "daemon/Admission.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sesameway::daemon {
 
@@ -73,6 +74,7 @@
     entry = FindOrAdd(aOrganisation);
   }
   Step(entry, [&](Entry& aEntry, TimePoint aNow) {
+    UpdateLenders(aEntry);
     auto ticket = aEntry.mNextTicket++;
     aEntry.mCallbacks[ticket] = std::move(aDone);
     return aEntry.mLimiter.Admit(ticket, aDeadline, aNow);
@@ -113,7 +115,7 @@
                   entry->mOrganisation.mBurst == organisation.mBurst;
     if (!isSame) {
       entry->mOrganisation = organisation;
-      SetShare(*entry, *mSnapshot);
+      SetShare(*entry, mSnapshot);
     }
   }
 }
@@ -131,7 +133,7 @@
       it.second->mShare.mLeaseEnd = mSnapshot->mHeld.mLeaseEnd;
       it.second->mLimiter.SetShare(it.second->mShare, Clock::now());
     } else {
-      SetShare(*it.second, *mSnapshot);
+      SetShare(*it.second, mSnapshot);
     }
   }
 }
@@ -150,17 +152,31 @@
   if (!entry) {
     entry = std::make_shared<Entry>();
     entry->mOrganisation = aOrganisation;
-    SetShare(*entry, *mSnapshot);
+    SetShare(*entry, mSnapshot);
   }
   return entry;
 }
 
-void FleetAdmission::SetShare(Entry& aEntry, const ShareSnapshot& aSnapshot) const
+// Ranking the lenders of every organisation takes time in proportion to organisations
+// and daemons together, and the table of shares changes often while a fleet starts. The
+// lenders are therefore chosen when a statement of the organisation comes, at once only
+// if one is waiting.
+void FleetAdmission::SetShare(Entry& aEntry, const ShareSnapshotPtr& aSnapshot) const
 {
-  aEntry.mShare = ShareOf(aEntry.mOrganisation, aSnapshot.mHeld);
+  aEntry.mShare = ShareOf(aEntry.mOrganisation, aSnapshot->mHeld);
   aEntry.mLimiter.SetShare(aEntry.mShare, Clock::now());
-  aEntry.mLimiter.SetLenders(
-    FindLenders(aEntry.mOrganisation, aSnapshot.mTable, mSelf.mName, mSelf.mZone));
+  aEntry.mNewLenders = aSnapshot;
+  if (!aEntry.mCallbacks.empty()) {
+    UpdateLenders(aEntry);
+  }
+}
+
+void FleetAdmission::UpdateLenders(Entry& aEntry) const
+{
+  if (auto snapshot = std::exchange(aEntry.mNewLenders, nullptr)) {
+    aEntry.mLimiter.SetLenders(
+      FindLenders(aEntry.mOrganisation, snapshot->mTable, mSelf.mName, mSelf.mZone));
+  }
 }
 
 void FleetAdmission::Step(const EntryPtr& aEntry, const StepFunction& aFunction)
--- a/src/daemon/Admission.h
+++ b/src/daemon/Admission.h
@@ -97,12 +97,15 @@
     std::unordered_map<std::uint64_t, AdmitCallback> mCallbacks;
     std::uint64_t mNextTicket = 0;
     TimePoint mTickAt = TimePoint::max();
+    // The snapshot from which the lenders are still to be chosen; null if they are.
+    ShareSnapshotPtr mNewLenders;
   };
   using EntryPtr = std::shared_ptr<Entry>;
 
   EntryPtr Find(const std::string& aName) const;
   EntryPtr FindOrAdd(const Organisation& aOrganisation);
-  void SetShare(Entry& aEntry, const ShareSnapshot& aSnapshot) const;
+  void SetShare(Entry& aEntry, const ShareSnapshotPtr& aSnapshot) const;
+  void UpdateLenders(Entry& aEntry) const;
   using StepFunction = std::function<LimiterStep(Entry&, TimePoint)>;
   void Step(const EntryPtr& aEntry, const StepFunction& aFunction);
   void RequestTokens(const EntryPtr& aEntry, const TokenRequest& aTokenRequest);
