Peers send only the objects that the asker lacks of each kind

Cause: a daemon asked for all changes after one revision, the lowest of its kinds. The kind of the daemons' own objects moves with each record, the list of databases only when its call of three seconds ends. When 295 daemons start, their records were sent to each daemon again at each pull until then. Ruled out: sequence numbers of the sender; they begin anew when another peer is asked. Change: query and answer carry a revision for each kind. A daemon of the former version names none and gets what it got. Evidence: APeerGetsOnlyWhatItLacksOfEachKind; the former call returns 300 objects there.

--- a/include/sesameway/ObjectTable.h
+++ b/include/sesameway/ObjectTable.h
@@ -27,6 +27,10 @@
   // Returns the changes, including removals, for a peer daemon that has all changes up
   // to `aRevision`.
   std::vector<StoredObject> ChangesSince(std::uint64_t aRevision) const;
+  // The same for a peer daemon that has all changes of each kind up to its own
+  // revision. A kind that is not named is taken as unknown to the peer.
+  std::vector<StoredObject> ChangesSince(
+    const std::map<std::string, std::uint64_t>& aRevisionsByKind) const;
   // Returns the object, null if it is unknown or removed.
   const StoredObject* Find(std::string_view aName) const;
   void ForEach(std::string_view aKind,
--- a/proto/peer.capnp
+++ b/proto/peer.capnp
@@ -69,6 +69,12 @@
   leaving @4 :Bool;
 }
 
+# The revision up to which the sender has all changes of the store's objects of a kind.
+struct KindRevision {
+  kind @0 :Text;
+  revision @1 :UInt64;
+}
+
 # The end of a group's log, as reported by its primary. The log ended there at some time
 # within the last `ageUs` microseconds.
 struct GroupHead {
@@ -82,12 +88,14 @@
   hello @0 (from :MemberInfo) -> (to :MemberInfo, ready :Bool);
   execute @1 (statement :Statement) -> (answer :Answer);
   begin @2 (statement :Statement) -> (answer :Answer, transaction :Transaction);
-  # Anti-entropy: returns all changes after the caller's revision. Members are returned
-  # only if the hash of the caller's list differs from that of the callee's list.
-  catalogue @3 (revision :UInt64, contactAgeUs :UInt64, membersHash :UInt64) ->
+  # Anti-entropy: returns all changes after the caller's revision, or after the caller's
+  # revision of each kind if it names any. Members are returned only if the hash of the
+  # caller's list differs from that of the callee's list.
+  catalogue @3 (revision :UInt64, contactAgeUs :UInt64, membersHash :UInt64,
+                kinds :List(KindRevision)) ->
       (revision :UInt64, contactAgeUs :UInt64, changes :List(CatalogueChange),
        members :List(MemberInfo), membersAgeUs :UInt64, serving :Bool,
-       heads :List(GroupHead));
+       heads :List(GroupHead), kinds :List(KindRevision));
   # Asks for unused rate limit tokens of an organisation. The callee subtracts the
   # tokens that it gives before it answers. If it gives none, `nextUs` is the time until
   # one may be available.
--- a/src/core/ObjectTable.cpp
+++ b/src/core/ObjectTable.cpp
@@ -57,6 +57,20 @@
   return changes;
 }
 
+std::vector<StoredObject> ObjectTable::ChangesSince(
+  const std::map<std::string, std::uint64_t>& aRevisionsByKind) const
+{
+  std::vector<StoredObject> changes;
+  for (const auto& it : mObjects) {
+    auto known = aRevisionsByKind.find(std::string(KindOf(it.first)));
+    auto revision = known == aRevisionsByKind.end() ? 0 : known->second;
+    if (it.second.mRevision > revision) {
+      changes.push_back(it.second);
+    }
+  }
+  return changes;
+}
+
 const StoredObject* ObjectTable::Find(std::string_view aName) const
 {
   auto it = mObjects.find(aName);
--- a/src/peer/CapnpPeers.cpp
+++ b/src/peer/CapnpPeers.cpp
@@ -96,6 +96,26 @@
   std::shared_ptr<kj::Own<kj::PromiseFulfiller<Value>>> mFulfiller;
 };
 
+KindRevisions ReadKinds(const capnp::List<wire::KindRevision>::Reader& aKinds)
+{
+  KindRevisions revisions;
+  for (auto it : aKinds) {
+    revisions[it.getKind()] = it.getRevision();
+  }
+  return revisions;
+}
+
+void FillKinds(const KindRevisions& aRevisions,
+               capnp::List<wire::KindRevision>::Builder aKinds)
+{
+  unsigned n = 0;
+  for (const auto& it : aRevisions) {
+    aKinds[n].setKind(it.first);
+    aKinds[n].setRevision(it.second);
+    ++n;
+  }
+}
+
 // Serves an open transaction of the handler to the peer that began it.
 class TransactionServer final : public wire::Transaction::Server
 {
@@ -179,7 +199,8 @@
     auto params = aContext.getParams();
     auto delta = mHandler->OnCatalogue({ params.getRevision(),
                                          microseconds(params.getContactAgeUs()),
-                                         params.getMembersHash() });
+                                         params.getMembersHash(),
+                                         ReadKinds(params.getKinds()) });
     auto results = aContext.getResults();
     results.setServing(delta.mIsServing);
     results.setRevision(delta.mRevision);
@@ -201,6 +222,7 @@
     for (unsigned n = 0; n < members.size(); ++n) {
       Fill(delta.mMembers[n], members[n]);
     }
+    FillKinds(delta.mKindRevisions, results.initKinds(delta.mKindRevisions.size()));
     auto heads = results.initHeads(delta.mHeads.size());
     for (unsigned n = 0; n < heads.size(); ++n) {
       const auto& it = delta.mHeads[n];
@@ -413,6 +435,8 @@
         request.setContactAgeUs(
           std::chrono::duration_cast<microseconds>(aQuery.mContactAge).count());
         request.setMembersHash(aQuery.mMembersHash);
+        FillKinds(aQuery.mKindRevisions,
+                  request.initKinds(aQuery.mKindRevisions.size()));
         return request.send().then([](auto aReply) { return ReadDelta(aReply); });
       },
       std::move(aDone));
@@ -551,6 +575,7 @@
     delta.mIsServing = aReply.getServing();
     delta.mRevision = aReply.getRevision();
     delta.mMembersAge = microseconds(aReply.getMembersAgeUs());
+    delta.mKindRevisions = ReadKinds(aReply.getKinds());
     delta.mContactAge = microseconds(aReply.getContactAgeUs());
     for (auto it : aReply.getChanges()) {
       auto body = it.getBody();
--- a/src/peer/Peer.h
+++ b/src/peer/Peer.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -34,6 +35,10 @@
   bool mDeleted = false;
 };
 
+// The revision up to which a daemon has all changes of each kind of the store's
+// objects.
+using KindRevisions = std::map<std::string, std::uint64_t>;
+
 // A request for the changes that the requesting daemon does not have yet.
 struct CatalogueQuery
 {
@@ -44,6 +49,10 @@
   Duration mContactAge{};
   // Hash of the requesting daemon's list of members; 0 if it has no list.
   std::uint64_t mMembersHash = 0;
+  // Used instead of mRevision unless empty. Kinds advance independently of each other,
+  // so with one revision for all, the changes of a busy kind would be sent again until
+  // each other kind has been read too.
+  KindRevisions mKindRevisions{};
 };
 
 // The end of a group's log, as reported by the primary to the sending daemon. The log
@@ -61,6 +70,8 @@
   // are then meaningless.
   bool mIsServing = false;
   std::uint64_t mRevision = 0;
+  // The same for each kind, if the requesting daemon named its own revisions of them.
+  KindRevisions mKindRevisions{};
   // Time since the sending daemon last knew, from the store or from a peer, that this
   // revision was the newest.
   Duration mContactAge{};
--- a/src/proxy/ProxyPeers.cpp
+++ b/src/proxy/ProxyPeers.cpp
@@ -63,7 +63,9 @@
       done(delta && delta->mIsServing);
     });
   };
-  peer::CatalogueQuery query{ mSync.Revision(), askedAt - mSync.Contact(), 0 };
+  peer::CatalogueQuery query{
+    mSync.Revision(), askedAt - mSync.Contact(), 0, mSync.KindRevisions()
+  };
   mPeers->Catalogue(aAddress, query, askedAt + kPullTimeout, std::move(onDelta));
 }
 
@@ -76,7 +78,7 @@
   for (const auto& it : aDelta.mChanges) {
     objects.push_back({ it.mName, it.mVersion, it.mRevision, it.mBody, it.mDeleted });
   }
-  mSync.Merge(objects, aDelta.mRevision, aAskedAt - aDelta.mContactAge);
+  mSync.Merge(objects, aDelta.mKindRevisions, aAskedAt - aDelta.mContactAge);
   // Ages are subtracted from the time of the query, so that positions are taken as
   // older rather than newer than they are.
   for (const auto& it : aDelta.mHeads) {
@@ -133,13 +135,16 @@
 peer::CatalogueDelta Proxy::OnCatalogue(const peer::CatalogueQuery& aQuery)
 {
   peer::CatalogueDelta delta;
-  // Contact and revision are read before the objects, so that the objects are at least
-  // as recent as both.
+  // Contact and revisions are read before the objects, so that the objects are at least
+  // as recent as all of them.
   auto contact = mSync.Contact();
   delta.mRevision = mSync.Revision();
+  delta.mKindRevisions = mSync.KindRevisions();
   delta.mIsServing = delta.mRevision != 0;
   delta.mContactAge = Clock::now() - contact;
-  for (auto& it : mSync.ChangesSince(aQuery.mRevision)) {
+  bool namesKinds = !aQuery.mKindRevisions.empty();
+  for (auto& it : namesKinds ? mSync.ChangesSince(aQuery.mKindRevisions)
+                             : mSync.ChangesSince(aQuery.mRevision)) {
     delta.mChanges.push_back(
       { it.mName, it.mVersion, it.mRevision, std::move(it.mBody), it.mDeleted });
   }
--- a/src/proxy/StoreSync.cpp
+++ b/src/proxy/StoreSync.cpp
@@ -55,14 +55,18 @@
 }
 
 void StoreSync::Merge(const std::vector<StoredObject>& aObjects,
-                      std::uint64_t aRevision,
+                      const std::map<std::string, std::uint64_t>& aRevisions,
                       TimePoint aContact)
 {
   ApplyAll(aObjects);
   for (auto& it : mStates) {
+    auto revision = aRevisions.find(it->mKind.mName);
+    if (revision == aRevisions.end()) {
+      continue;
+    }
     // A listing from the store replaces these objects when it arrives.
-    it->mRevision = std::max(it->mRevision, aRevision);
-    it->mIsListed |= aRevision != 0;
+    it->mRevision = std::max(it->mRevision, revision->second);
+    it->mIsListed |= revision->second != 0;
   }
   CheckInitialSync();
   NoteContact(aContact);
@@ -104,12 +108,25 @@
   return 0;
 }
 
+std::map<std::string, std::uint64_t> StoreSync::KindRevisions() const
+{
+  std::lock_guard lock(mMutex);
+  return mKindRevisions;
+}
+
 std::vector<StoredObject> StoreSync::ChangesSince(std::uint64_t aRevision) const
 {
   std::lock_guard lock(mMutex);
   return mTable.ChangesSince(aRevision);
 }
 
+std::vector<StoredObject> StoreSync::ChangesSince(
+  const std::map<std::string, std::uint64_t>& aRevisions) const
+{
+  std::lock_guard lock(mMutex);
+  return mTable.ChangesSince(aRevisions);
+}
+
 std::optional<StoredObject> StoreSync::Find(const std::string& aName) const
 {
   std::lock_guard lock(mMutex);
@@ -239,13 +256,18 @@
 {
   auto revision = std::numeric_limits<std::uint64_t>::max();
   bool isKnown = true;
+  std::map<std::string, std::uint64_t> kinds;
   for (const auto& it : mStates) {
     isKnown &= it->mIsListed;
     revision = std::min(revision, it->mRevision);
+    if (it->mIsListed) {
+      kinds[it->mKind.mName] = it->mRevision;
+    }
   }
   {
     std::lock_guard lock(mMutex);
     mRevision = revision;
+    mKindRevisions = std::move(kinds);
   }
   if (isKnown && !mIsInitialized) {
     mIsInitialized = true;
--- a/test/core/ObjectTableTest.cpp
+++ b/test/core/ObjectTableTest.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(AListRemovesObjectsThatItLacks);
   CPPUNIT_TEST(ARemovalMayCarryTheLastRevision);
   CPPUNIT_TEST(PeersThatKnowTheObjectLearnOfItsRemoval);
+  CPPUNIT_TEST(APeerGetsOnlyWhatItLacksOfEachKind);
   CPPUNIT_TEST(TwoCopiesConvergeInAnyOrderOfChanges);
   CPPUNIT_TEST_SUITE_END();
 
@@ -77,6 +78,23 @@
     CPPUNIT_ASSERT(table.Find("servers/b") != nullptr);
   }
 
+  // A fleet of 300 daemons that starts at once writes 300 member records within a
+  // second, while the list of databases does not change and is read each three seconds.
+  void APeerGetsOnlyWhatItLacksOfEachKind()
+  {
+    ObjectTable table;
+    table.Apply(At("servers/a", 1));
+    for (std::uint64_t n = 0; n < 300; ++n) {
+      table.Apply(At("members/" + std::to_string(n), 2 + n));
+    }
+    std::map<std::string, std::uint64_t> known{ { "servers", 1 }, { "members", 300 } };
+    auto changes = table.ChangesSince(known);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, changes.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("members/299"), changes.front().mName);
+    known.erase("servers");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, table.ChangesSince(known).size());
+  }
+
   void TwoCopiesConvergeInAnyOrderOfChanges()
   {
     CPPUNIT_ASSERT(rc::check([] {
