Calls to one peer share the connection that is being opened

Cause: each call to a peer without a connection opened one of its own. A new coordinator asks every daemon about every group at once: 294 daemons and 20 groups made 5,880 connections, 4,481 descriptors and 166 MB, and the process ended over its memory limit. Ruled out: the region's reader of the store; with its pulls spread the same daemon ended. Change: calls wait for the connection that is being opened, by address. Evidence: CallsToOnePeerAtOnceShareAConnection, 100 connections before, 1 after.

--- a/src/peer/CapnpPeers.cpp
+++ b/src/peer/CapnpPeers.cpp
@@ -558,6 +558,8 @@
     }
   };
 
+  using Opening = std::map<std::string, kj::ForkedPromise<wire::Peer::Client>>;
+
   static Answer AnswerForLostConnection(const GroupRequest& aRequest, bool aIsSent)
   {
     const auto& statement = aRequest.mStatement;
@@ -618,33 +620,56 @@
     mStarted.notify_all();
     stop.promise.wait(io.waitScope);
     mTasks.reset();
+    mOpening.clear();
     mPeerConnections.clear();
   }
 
-  // Returns the peer's capability, opening a connection first if there is none. Call it
-  // on the event loop thread.
+  // Returns the peer's capability, opening a connection first if there is none. Calls
+  // that come while it is being opened share it: a coordinator asks all daemons about
+  // all groups at once. Call it on the event loop thread.
   kj::Promise<wire::Peer::Client> ConnectTo(const std::string& aAddress)
   {
     auto it = mPeerConnections.find(aAddress);
     if (it != mPeerConnections.end()) {
       return it->second->mPeer;
     }
+    auto opening = mOpening.find(aAddress);
+    if (opening == mOpening.end()) {
+      opening = mOpening.emplace(aAddress, Open(aAddress).fork()).first;
+    }
+    return opening->second.addBranch();
+  }
+
+  kj::Promise<wire::Peer::Client> Open(const std::string& aAddress)
+  {
     auto connecting =
       mNetwork->parseAddress(aAddress).then([](kj::Own<kj::NetworkAddress> aParsed) {
         return aParsed->connect().attach(kj::mv(aParsed));
       });
     return mTimer->timeoutAfter(kConnectTimeout, kj::mv(connecting))
-      .then([this, aAddress](kj::Own<kj::AsyncIoStream> aStream) -> wire::Peer::Client {
-        auto& connection = mPeerConnections[aAddress];
-        if (!connection) {
-          connection = std::make_shared<PeerConnection>(kj::mv(aStream));
+      .then(
+        [this, aAddress](kj::Own<kj::AsyncIoStream> aStream) -> wire::Peer::Client {
+          ForgetOpening(aAddress);
+          auto connection = std::make_shared<PeerConnection>(kj::mv(aStream));
+          mPeerConnections[aAddress] = connection;
           mTasks->add(connection->mClient.onDisconnect().then(
             [this, aAddress, weak = std::weak_ptr<PeerConnection>(connection)] {
               DropConnection(aAddress, weak);
             }));
-        }
-        return connection->mPeer;
-      });
+          return connection->mPeer;
+        },
+        [this, aAddress](kj::Exception&& aError) -> wire::Peer::Client {
+          ForgetOpening(aAddress);
+          kj::throwFatalException(kj::mv(aError));
+        });
+  }
+
+  // The promise is destroyed in a separate task, because it must not be destroyed while
+  // it runs.
+  void ForgetOpening(const std::string& aAddress)
+  {
+    auto node = std::make_shared<Opening::node_type>(mOpening.extract(aAddress));
+    mTaskQueue->Post([node] {});
   }
 
   void DropConnection(const std::string& aAddress,
@@ -721,12 +746,14 @@
   std::mutex mStartMutex;
   std::condition_variable mStarted;
   bool mIsListening = false;
-  // The members from here to mPeerConnections are used only on the event loop thread.
+  // The members from here to mOpening are used only on the event loop thread.
   kj::Own<kj::PromiseFulfiller<void>> mStop;
   kj::Network* mNetwork = nullptr;
   kj::Timer* mTimer = nullptr;
   std::unique_ptr<kj::TaskSet> mTasks;
   std::map<std::string, std::shared_ptr<PeerConnection>> mPeerConnections;
+  // Connections that are being opened, by address.
+  Opening mOpening;
   std::thread mThread;
 };
 
