Links and pulls of a daemon no longer grow with the fleet; member records in batches

Cause: every daemon opened a connection to every other one, 86,730 at 295 daemons; every daemon that started asked the same two addresses every 300 ms until it had contact; each record of a member recomputed limits, watchers and peers and wrote a log line. Change: LinkedPeers chooses 64 peers, those of the own zone first, as a daemon asks them for tokens first; other connections open when they are needed. PeerPullSchedule lets a starting daemon reach the store first, begins at a different peer in each daemon and asks more rarely while nothing newer comes. Changes of member records are handled once per tick, with one log line (event members in place of member). Tried first: 12 links.

--- a/src/core/Shares.cpp
+++ b/src/core/Shares.cpp
@@ -1,5 +1,7 @@
 #include "sesameway/Shares.h"
 
+#include "sesameway/LinkedPeers.h"
+
 #include <toml++/toml.h>
 #include <xxhash.h>
 
@@ -212,7 +214,7 @@
       // The ranking differs for each asking daemon, so that requests spread over all
       // lenders. Daemons without a slot of the organisation come last instead of being
       // left out, as they may have taken one since this table was read.
-      auto rank = HashOf(it.first, HashOf(aSelf, 0));
+      auto rank = PeerRank(aSelf, it.first);
       lenders.push_back({ !hasSome, it.second.mZone != aZone, rank, it.first });
     }
   }
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -72,6 +72,8 @@
   , mRegistration(mSelf.mName, mSelf.mAddress)
   , mWatchers(mSelf.mName)
   , mTick(aLoop)
+  , mLinkedPeers(mSelf.mName)
+  , mPullSchedule(mSelf.mName, mStartedAt)
   , mSeedPeerAddresses(mSettings.mSeedPeerAddresses)
 {
   CoordinatorRun::Parts parts{ mLoop,
@@ -111,6 +113,7 @@
   mFleet.Tick();
   mCoordinator->Tick();
   UpdatePrimaryHints(now);
+  ApplyMemberChanges();
   Register(now);
   FollowStore(now);
   PullFromPeers(now);
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -13,11 +13,12 @@
 #include "proxy/Settings.h"
 #include "proxy/StoreSync.h"
 #include "sesameway/DrainPlan.h"
+#include "sesameway/LinkedPeers.h"
 #include "sesameway/Membership.h"
+#include "sesameway/PeerPullSchedule.h"
 #include "sesameway/StoreWatchers.h"
 
 #include <atomic>
-#include <deque>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -120,8 +121,8 @@
   void UpdatePrimaryHints(TimePoint aNow);
   void LogTotals(TimePoint aNow);
   void DrainSessions();
-  // Called with the daemons that are not marked as missing.
-  void OnMembersChanged(const std::vector<peer::Member>& aMembers);
+  // Handles all changes of member records since the last call.
+  void ApplyMemberChanges();
   bool IsOwnRegion(const std::string& aZone) const;
   void OnOwnRecord(const MemberRecord* aRecord);
   void OnContact(TimePoint aContact);
@@ -152,16 +153,15 @@
   bool mIsDraining = false;
   std::optional<DrainPlan> mDrainPlan;
   std::function<void()> mOnDrained;
-  // Incarnation of each daemon to which this one has connected or tried to, by name.
-  std::map<std::string, std::uint64_t> mConnectedIncarnations;
-  // Peers to connect to, those in the same region first.
-  std::deque<peer::Member> mPeersToConnect;
+  // Number of member records that have changed since ApplyMemberChanges was called.
+  std::size_t mMemberChanges = 0;
+  // Peers to which this daemon opens a connection before it needs one.
+  LinkedPeers mLinkedPeers;
   bool mIsRegistering = false;
   TimePoint mRegisterAgainAt{};
-  TimePoint mPullAgainAt{};
+  PeerPullSchedule mPullSchedule;
   TimePoint mNextRelayPullAt{};
   TimePoint mNextTotalsAt{};
-  std::size_t mNextPullPeer = 0;
   std::vector<std::string> mSeedPeerAddresses;
 
   mutable std::mutex mMutex;
--- a/src/proxy/ProxyPeers.cpp
+++ b/src/proxy/ProxyPeers.cpp
@@ -6,44 +6,34 @@
 
 namespace {
 
-// Changes are pulled from peers if the last contact with the store is older than this.
-constexpr Duration kContactAge = milliseconds(2200);
-constexpr Duration kPullPause = milliseconds(300);
 constexpr Duration kPullTimeout = milliseconds(600);
-constexpr std::size_t kPeersPerPull = 2;
 constexpr Duration kHelloTimeout = seconds(1);
 
 } // namespace
 
 void Proxy::PullFromPeers(TimePoint aNow)
 {
-  bool isDue = aNow - mSync.Contact() > kContactAge && aNow >= mPullAgainAt;
-  if (!isDue || mPeers == nullptr) {
+  if (mPeers == nullptr || !mPullSchedule.IsDue(mSync.Contact(), aNow)) {
     return;
   }
-  mPullAgainAt = aNow + kPullPause;
   std::vector<std::string> addresses = mSeedPeerAddresses;
   for (const auto& it : Members()) {
     addresses.push_back(it.mAddress);
   }
   std::erase(addresses, mSelf.mAddress);
-  for (std::size_t n = 0; n < std::min(kPeersPerPull, addresses.size()); ++n) {
-    PullFrom(addresses[mNextPullPeer++ % addresses.size()], [](bool) {});
+  for (auto it : mPullSchedule.Next(mSync.Contact(), addresses.size(), aNow)) {
+    PullFrom(addresses[it], [](bool) {});
   }
 }
 
-// Opens a connection to one peer per tick. Opening a connection takes longer than the
-// timeout of a token request, so connections are opened before the first request. Peers
-// in the same region come first, one at a time, because each connection costs work.
+// Opens a connection to one peer per tick, because each connection costs work.
 void Proxy::ConnectToOnePeer()
 {
-  if (mPeers == nullptr || mPeersToConnect.empty()) {
+  const auto* next = mPeers == nullptr ? nullptr : mLinkedPeers.Next();
+  if (next == nullptr) {
     return;
   }
-  auto next = std::move(mPeersToConnect.front());
-  mPeersToConnect.pop_front();
-  mConnectedIncarnations[next.mName] = next.mIncarnation;
-  mPeers->Hello(next.mAddress,
+  mPeers->Hello(next->mAddress,
                 mSelf,
                 Clock::now() + kHelloTimeout,
                 [](const std::optional<peer::HelloReply>&) {
--- a/src/proxy/ProxyStore.cpp
+++ b/src/proxy/ProxyStore.cpp
@@ -2,7 +2,7 @@
 
 #include "daemon/Log.h"
 
-#include <algorithm>
+#include <utility>
 
 namespace sesameway::proxy {
 
@@ -140,38 +140,36 @@
   if (name == mSelf.mName) {
     OnOwnRecord(record ? &*record : nullptr);
   }
-  auto members = Members();
-  LOG(INFO) << daemon::LogLine("member")
-                 .With("name", name)
-                 .With("missing", record && record->mIsMissing)
-                 .With("removed", aObject.mDeleted)
-                 .With("members", members.size())
-                 .With("revision", aObject.mRevision);
-  OnMembersChanged(members);
+  ++mMemberChanges;
 }
 
-void Proxy::OnMembersChanged(const std::vector<peer::Member>& aMembers)
+// Changes are handled together once per tick: when a fleet starts, the records of all
+// daemons arrive within a second.
+void Proxy::ApplyMemberChanges()
 {
+  if (mMemberChanges == 0) {
+    return;
+  }
+  auto members = Records();
+  std::erase_if(members, [](const auto& aIt) { return aIt.mIsMissing; });
   std::vector<std::string> zones;
   std::vector<std::string> near;
-  mPeersToConnect.clear();
-  for (const auto& it : aMembers) {
+  for (const auto& it : members) {
     zones.push_back(it.mZone);
     if (IsOwnRegion(it.mZone)) {
       near.push_back(it.mName);
     }
-    auto connected = mConnectedIncarnations.find(it.mName);
-    bool isConnected =
-      connected != mConnectedIncarnations.end() && connected->second == it.mIncarnation;
-    if (!isConnected && it.mName != mSelf.mName) {
-      mPeersToConnect.push_back(it);
-    }
   }
-  std::stable_partition(mPeersToConnect.begin(),
-                        mPeersToConnect.end(),
-                        [this](const auto& aIt) { return IsOwnRegion(aIt.mZone); });
+  LOG(INFO) << daemon::LogLine("members")
+                 .With("changes", std::exchange(mMemberChanges, 0))
+                 .With("members", members.size())
+                 .With("near", near.size())
+                 .With("revision", mSync.OwnRevision());
   mFleet.SetDaemonZones(zones);
   mWatchers.SetDaemons(std::move(near));
+  mLinkedPeers.SetPeers(members, [this](const std::string& aZone) {
+    return aZone == mSelf.mZone ? 0 : IsOwnRegion(aZone) ? 1 : 2;
+  });
 }
 
 bool Proxy::IsOwnRegion(const std::string& aZone) const
