Statements wait for the tokens of far lenders, and are refused once all lenders are out

Cause: in a large fleet the tokens of a small organisation lie with a few of its daemons. A statement asks them one after the other; after 150 ms it was refused although its organisation was within its rate. Ruled out: another assignment of slots with few holders for each organisation. One lost VM would then hold all tokens of an organisation. Change: a statement waits up to 400 ms while a lender has not been heard since it came, and is refused at once when all have said that they will have none in time. Beyond 150 ms it does not wait for lenders that have answered. Daemons without a slot of the organisation are asked only three at most if others have some. Connections are opened in advance to 256 peers instead of 64.

--- a/include/sesameway/Limits.h
+++ b/include/sesameway/Limits.h
@@ -163,6 +163,7 @@
   struct Waiter
   {
     std::uint64_t mTicket = 0;
+    TimePoint mSince;
     TimePoint mGiveUpAt;
   };
   struct OpenRequest
@@ -176,11 +177,15 @@
     std::string mName;
     TimePoint mRetryAt{};
     bool mAsked = false;
+    // When the lender last replied or its reply was given up.
+    TimePoint mAnsweredAt{};
     // Number of consecutive replies without tokens.
     int mRefusals = 0;
   };
   void ServeWaiters(LimiterStep& aStep, NanoTokens aBorrowed, TimePoint aNow);
   void SendRequests(LimiterStep& aStep, TimePoint aNow);
+  void RefuseUnservable(LimiterStep& aStep, TimePoint aNow);
+  bool MayBorrow(const Waiter& aWaiter, TimePoint aNow) const;
   // Number of nano-tokens that are needed and not requested yet.
   NanoTokens UnrequestedTokens(TimePoint aNow);
   LimiterStep Finish(LimiterStep aStep, TimePoint aNow);
--- a/include/sesameway/LinkedPeers.h
+++ b/include/sesameway/LinkedPeers.h
@@ -16,10 +16,10 @@
 // ranks its peers differently, so that the load spreads over all of them.
 std::uint64_t PeerRank(std::string_view aSelf, std::string_view aPeer);
 
-// Number of peers to which a daemon keeps connections before it needs them: most of the
-// daemons of an availability zone of a large fleet, as a daemon asks the other holders
-// of its zone's slots for tokens first.
-inline constexpr std::size_t kMaxLinkedPeers = 64;
+// Number of peers to which a daemon opens connections before it needs them. The tokens
+// of a small organisation lie with a few daemons anywhere in the fleet, and a
+// connection across regions takes longer to open than a statement may wait for a token.
+inline constexpr std::size_t kMaxLinkedPeers = 256;
 
 // Chooses the peers to which a daemon opens a connection in advance. Opening one takes
 // longer than a request for tokens may wait, but a connection to every peer would make
--- a/src/core/Limits.cpp
+++ b/src/core/Limits.cpp
@@ -12,12 +12,13 @@
 constexpr std::int64_t kTicksPerSecond =
   std::chrono::duration_cast<Duration>(seconds(1)).count();
 
-// How long a statement waits for borrowed tokens before it is refused: three round
-// trips between regions.
+// A statement waits for borrowed tokens only if a lender can be asked within this time:
+// three round trips between regions.
 constexpr Duration kLoanWait = milliseconds(150);
-// How long a statement waits for a token of the daemon's own refill, which unlike a
-// loan is certain to arrive.
-constexpr Duration kRefillWait = milliseconds(400);
+// How long a statement waits for a token while its own refill or a lender may still
+// bring one. In a large fleet the tokens of a small organisation lie with a few daemons
+// in other regions, which are asked one after the other.
+constexpr Duration kTokenWait = milliseconds(400);
 // Pause before a lender that had no tokens is asked again. Doubles with each
 // consecutive reply without tokens: an organisation that exceeds its rate finds none
 // anywhere.
@@ -178,7 +179,7 @@
   std::vector<Lender> lenders;
   for (auto& it : aLenders) {
     const auto* known = Find(it);
-    lenders.push_back(known ? *known : Lender{ std::move(it), {}, false });
+    lenders.push_back(known ? *known : Lender{ std::move(it) });
   }
   mLenders = std::move(lenders);
 }
@@ -197,14 +198,13 @@
   }
   // Statements that already wait are entitled to the refill first.
   auto own = mBucket.NextToken(aNow, mWaiters.size());
-  bool isOwnNear = own <= aNow + kRefillWait;
+  bool isOwnNear = own <= aNow + kTokenWait;
   bool isLoanNear = NextRequestAt(aNow) <= aNow + kLoanWait;
   if ((!isOwnNear && !isLoanNear) || mWaiters.size() >= kMaxWaiters) {
     step.mDecisions.push_back({ aTicket, false, RetryAt(aNow) });
     return Finish(std::move(step), aNow);
   }
-  auto giveUpAt = aNow + (isOwnNear ? kRefillWait : kLoanWait);
-  mWaiters.push_back({ aTicket, std::min(aDeadline, giveUpAt) });
+  mWaiters.push_back({ aTicket, aNow, std::min(aDeadline, aNow + kTokenWait) });
   SendRequests(step, aNow);
   return Finish(std::move(step), aNow);
 }
@@ -222,6 +222,7 @@
   bool isInTime = aNow < request.mDeadline;
   if (auto* lender = Find(request.mLender)) {
     lender->mAsked = false;
+    lender->mAnsweredAt = aNow;
     bool hasGiven = aLoan.mTokens > 0;
     bool isStillNeeded = hasGiven && !mWaiters.empty();
     lender->mRefusals =
@@ -237,6 +238,7 @@
   if (!mWaiters.empty()) {
     SendRequests(step, aNow);
   }
+  RefuseUnservable(step, aNow);
   return Finish(std::move(step), aNow);
 }
 
@@ -252,6 +254,7 @@
   for (auto id : timedOut) {
     if (auto* lender = Find(mTokenRequests[id].mLender)) {
       lender->mAsked = false;
+      lender->mAnsweredAt = aNow;
       lender->mRetryAt = aNow + kPauseAfterTimeout;
     }
     mTokenRequests.erase(id);
@@ -260,6 +263,7 @@
   if (!mWaiters.empty()) {
     SendRequests(step, aNow);
   }
+  RefuseUnservable(step, aNow);
   return Finish(std::move(step), aNow);
 }
 
@@ -303,6 +307,36 @@
   });
 }
 
+// Refuses statements that probably no token reaches in time, the latest first, since
+// earlier ones get tokens first.
+void Limiter::RefuseUnservable(LimiterStep& aStep, TimePoint aNow)
+{
+  while (!mWaiters.empty()) {
+    const auto& last = mWaiters.back();
+    auto own = mBucket.NextToken(aNow, mWaiters.size() - 1);
+    if (own < last.mGiveUpAt || MayBorrow(last, aNow)) {
+      return;
+    }
+    auto ticket = last.mTicket;
+    mWaiters.pop_back();
+    aStep.mDecisions.push_back({ ticket, false, RetryAt(aNow) });
+  }
+}
+
+// Whether a lender may still bring a token: one can be asked in time, and either
+// kLoanWait has not passed or one has not answered since the statement came.
+bool Limiter::MayBorrow(const Waiter& aWaiter, TimePoint aNow) const
+{
+  if (NextRequestAt(aNow) >= aWaiter.mGiveUpAt) {
+    return false;
+  }
+  bool hasOpenLender =
+    std::any_of(mLenders.begin(), mLenders.end(), [&](const Lender& aLender) {
+      return aLender.mAnsweredAt < aWaiter.mSince;
+    });
+  return hasOpenLender || aNow < aWaiter.mSince + kLoanWait;
+}
+
 void Limiter::SendRequests(LimiterStep& aStep, TimePoint aNow)
 {
   // Borrow as soon as the bucket is less than half full, so that statements needn't
@@ -357,7 +391,9 @@
   }
   aStep.mNextTick = std::min(aStep.mNextTick, mBucket.NextToken(aNow));
   for (const auto& it : mWaiters) {
-    aStep.mNextTick = std::min(aStep.mNextTick, it.mGiveUpAt);
+    auto loanWaitEnd = it.mSince + kLoanWait;
+    auto next = aNow < loanWaitEnd ? std::min(loanWaitEnd, it.mGiveUpAt) : it.mGiveUpAt;
+    aStep.mNextTick = std::min(aStep.mNextTick, next);
   }
   // A tick to ask another lender is needed only if a request may be sent; otherwise the
   // next reply triggers the next request.
--- a/src/core/Shares.cpp
+++ b/src/core/Shares.cpp
@@ -23,6 +23,9 @@
 constexpr std::uint32_t kParts = 4;
 // Enough lenders to find spare tokens, and few enough to ask while a statement waits.
 constexpr std::size_t kMaxLenders = 12;
+// How many of them may hold no slot of the organisation in the table known, if others
+// do. They may have taken one since, but mostly they are asked in vain.
+constexpr std::size_t kMaxLendersWithoutSlot = 3;
 constexpr Duration kTurnSpacing = seconds(1);
 constexpr std::int64_t kReadsPerSecond = 5;
 constexpr Duration kNoAnswerPause = seconds(1);
@@ -224,7 +227,11 @@
              std::tie(aRight.mHasNone, aRight.mIsFar, aRight.mRank);
     });
   std::vector<std::string> names;
-  for (std::size_t n = 0; n < std::min(kMaxLenders, lenders.size()); ++n) {
+  auto withSlot = static_cast<std::size_t>(std::count_if(
+    lenders.begin(), lenders.end(), [](const Lender& aIt) { return !aIt.mHasNone; }));
+  auto most = withSlot == 0 ? kMaxLenders
+                            : std::min(kMaxLenders, withSlot + kMaxLendersWithoutSlot);
+  for (std::size_t n = 0; n < std::min(most, lenders.size()); ++n) {
     names.push_back(std::move(lenders[n].mName));
   }
   return names;
--- a/test/core/LimitsTest.cpp
+++ b/test/core/LimitsTest.cpp
@@ -18,6 +18,8 @@
   CPPUNIT_TEST(WaitsForOwnTokensThatAreDueSoon);
   CPPUNIT_TEST(AsksAPeerWithoutTokensAgainWhenItExpectsToHaveSome);
   CPPUNIT_TEST(RefusesAtOnceWhenNoPeerCanLendInTime);
+  CPPUNIT_TEST(AsksTheLendersOfOtherRegionsBeforeItRefuses);
+  CPPUNIT_TEST(RefusesAsSoonAsAllLendersAreOutOfTokens);
   CPPUNIT_TEST(DoesNotWakeUpWhileAnAnswerIsAwaited);
   CPPUNIT_TEST(LenderReportsWhenItMayHaveATokenToLend);
   CPPUNIT_TEST_SUITE_END();
@@ -226,6 +228,44 @@
   // Guards against needless wake-ups while token requests wait for an answer. With most
   // tokens borrowed from daemons 40 ms away, one wake-up per millisecond used a third
   // of a small VM's processor.
+  // The pattern of a large fleet: the tokens of a small organisation lie with a few
+  // daemons, some of them in other regions, and its statements arrive at all others.
+  void AsksTheLendersOfOtherRegionsBeforeItRefuses()
+  {
+    Limiter limiter(kStart);
+    limiter.SetLenders({ "a", "b", "c", "d" });
+    auto now = kStart;
+    auto step = limiter.Admit(1, kStart + seconds(5), now);
+    for (int n = 0; n < 3; ++n) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, step.mTokenRequests.size());
+      auto id = step.mTokenRequests.front().mId;
+      now += milliseconds(60);
+      step = limiter.OnLoan(id, { 0, milliseconds(500) }, now);
+      CPPUNIT_ASSERT(step.mDecisions.empty());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("d"), step.mTokenRequests.front().mLender);
+    step = limiter.OnLoan(step.mTokenRequests.front().mId, { kOneToken, {} }, now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, step.mDecisions.size());
+    CPPUNIT_ASSERT(step.mDecisions.front().mAdmitted);
+  }
+
+  void RefusesAsSoonAsAllLendersAreOutOfTokens()
+  {
+    Limiter limiter(kStart);
+    limiter.SetLenders({ "a", "b" });
+    auto now = kStart;
+    auto step = limiter.Admit(1, kStart + seconds(5), now);
+    for (int n = 0; n < 2; ++n) {
+      CPPUNIT_ASSERT(step.mDecisions.empty());
+      now += milliseconds(3);
+      step =
+        limiter.OnLoan(step.mTokenRequests.front().mId, { 0, milliseconds(500) }, now);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, step.mDecisions.size());
+    CPPUNIT_ASSERT(!step.mDecisions.front().mAdmitted);
+    CPPUNIT_ASSERT(step.mDecisions.front().mRetryAt >= now + milliseconds(400));
+  }
+
   void DoesNotWakeUpWhileAnAnswerIsAwaited()
   {
     Limiter limiter(kStart);
