A coordinator asks a large fleet in rounds, one call a daemon for all groups

Cause: the coordinator asked every daemon about every group, each group on its own: 5,880 calls at once at 295 daemons and 20 groups, which 0.12 of a core can't make within the 500 ms that it waits for the answers. While primaries answer, the interval grew with the fleet to 28.5 s, beyond the 15 s after which a daemon without an answer counts as missing. Ruled out: load of the machine; the interval alone marks all daemons from 161 on. A reported loss makes the questions about that group urgent for 1.5 s. A peer of the former version does not know the call and counts as heard.

--- a/include/sesameway/Promotion.h
+++ b/include/sesameway/Promotion.h
@@ -45,9 +45,13 @@
   {
     std::string mDatabase;
   };
-  // Asks every other daemon for its contact report on the primary.
+  // Asks every other daemon for its contact report on the primary. Unless the question
+  // is urgent, reports of daemons that have lost the primary suffice, also a few
+  // seconds later.
   struct QueryDaemons
-  {};
+  {
+    bool mIsUrgent = false;
+  };
   // Writes the group record on condition that its stored revision is mExpected; 0 means
   // that no record exists yet.
   struct WriteRecord
@@ -229,6 +233,8 @@
   std::map<std::string, ContactReport> mContactReports;
   TimePoint mStartedAt{};
   TimePoint mDaemonsQueriedAt{};
+  // When a daemon last reported that it had lost the primary.
+  TimePoint mLossReportedAt{};
   // No record is written before this time, as the previous write may still be in
   // flight.
   TimePoint mWriteAgainAt{};
--- a/proto/peer.capnp
+++ b/proto/peer.capnp
@@ -84,6 +84,15 @@
   ageUs @3 :UInt64;
 }
 
+# A group's primary as far as the sender knows. `seenAgeUs` is the time since the sender
+# last heard from it; `database` is empty if the sender knows none.
+struct GroupPrimary {
+  group @0 :Text;
+  term @1 :UInt64;
+  database @2 :Text;
+  seenAgeUs @3 :UInt64;
+}
+
 interface Peer {
   hello @0 (from :MemberInfo) -> (to :MemberInfo, ready :Bool);
   execute @1 (statement :Statement) -> (answer :Answer);
@@ -111,4 +120,7 @@
   # shows that this change of primary, or a later one, is complete. The callee answers
   # once nothing is in progress at the primary.
   standDown @7 (group :Text, change :UInt64) -> ();
+  # The same as `primary` for several groups. If none is named, returns the groups whose
+  # primary the callee has not heard from for a while.
+  primaries @8 (groups :List(Text)) -> (primaries :List(GroupPrimary));
 }
--- a/src/core/Promotion.cpp
+++ b/src/core/Promotion.cpp
@@ -20,9 +20,9 @@
 // Interval between queries while the primary answers this daemon: others may be cut off
 // from the primary although this one is not.
 constexpr Duration kIdleQueryInterval = milliseconds(1500);
-// While the primary answers, the interval grows by kIdleQueryInterval for every
-// kDaemonsPerInterval daemons, as a larger fleet is queried less often.
-constexpr std::size_t kDaemonsPerInterval = 16;
+// After a daemon has reported that it lost the primary, all are queried for this long
+// as if the primary did not answer this daemon either.
+constexpr Duration kLossQueryTime = milliseconds(1500);
 // How long to search for an existing primary before a database is promoted to be the
 // first one.
 constexpr Duration kLearnLimit = milliseconds(4000);
@@ -115,6 +115,9 @@
                                     TimePoint aNow)
 {
   mContactReports[aDaemon] = { aSilence, aNow };
+  if (aSilence && *aSilence >= kSilence) {
+    mLossReportedAt = aNow;
+  }
 }
 
 void PromotionPlan::OnStoodDown(const std::string& aDaemon, std::uint64_t aChange)
@@ -183,12 +186,10 @@
   if (isQuiet || listed == nullptr || listed->mIsLeaving) {
     ProbeAll(aClusterState, kProbeInterval, aNow, aActions);
   }
-  auto parts =
-    static_cast<int>(aClusterState.mDaemons.size() / kDaemonsPerInterval) + 1;
-  auto interval = isQuiet ? kQueryInterval : kIdleQueryInterval * parts;
-  if (aNow - mDaemonsQueriedAt >= interval) {
+  bool isUrgent = isQuiet || aNow - mLossReportedAt < kLossQueryTime;
+  if (aNow - mDaemonsQueriedAt >= (isUrgent ? kQueryInterval : kIdleQueryInterval)) {
     mDaemonsQueriedAt = aNow;
-    aActions.emplace_back(QueryDaemons{});
+    aActions.emplace_back(QueryDaemons{ isUrgent });
   }
   DemoteFormer(aRecord, aClusterState, aNow, aActions);
   auto cause = FindCause(aRecord, aClusterState, aNow);
--- a/src/daemon/Engine.cpp
+++ b/src/daemon/Engine.cpp
@@ -169,6 +169,15 @@
   return home->Hint();
 }
 
+peer::PrimaryHints Engine::OnPrimaries(const std::vector<std::string>& aGroups)
+{
+  peer::PrimaryHints hints;
+  for (const auto& it : aGroups) {
+    hints[it] = OnPrimary(it);
+  }
+  return hints;
+}
+
 void Engine::OnAnnounce(const std::string& aGroup, const peer::PrimaryHint& aPrimary)
 {
   LOG(INFO)
--- a/src/peer/CapnpPeers.cpp
+++ b/src/peer/CapnpPeers.cpp
@@ -255,6 +255,26 @@
     return kj::READY_NOW;
   }
 
+  kj::Promise<void> primaries(PrimariesContext aContext) override
+  {
+    std::vector<std::string> groups;
+    for (auto it : aContext.getParams().getGroups()) {
+      groups.emplace_back(it);
+    }
+    auto hints = mHandler->OnPrimaries(groups);
+    auto to = aContext.getResults().initPrimaries(hints.size());
+    unsigned n = 0;
+    for (const auto& it : hints) {
+      to[n].setGroup(it.first);
+      to[n].setTerm(it.second.mTerm);
+      to[n].setDatabase(it.second.mDatabase);
+      to[n].setSeenAgeUs(
+        std::chrono::duration_cast<microseconds>(it.second.mSeenAge).count());
+      ++n;
+    }
+    return kj::READY_NOW;
+  }
+
   kj::Promise<void> announce(AnnounceContext aContext) override
   {
     auto params = aContext.getParams();
@@ -486,6 +506,34 @@
       std::move(aDone));
   }
 
+  void Primaries(const std::string& aAddress,
+                 std::vector<std::string> aGroups,
+                 TimePoint aDeadline,
+                 std::function<void(std::optional<PrimaryHints>)> aDone) override
+  {
+    Call<PrimaryHints>(
+      aAddress,
+      aDeadline,
+      [groups = std::move(aGroups)](wire::Peer::Client aPeer) {
+        auto request = aPeer.primariesRequest();
+        auto to = request.initGroups(groups.size());
+        for (unsigned n = 0; n < groups.size(); ++n) {
+          to.set(n, groups[n]);
+        }
+        return request.send().then([](auto aReply) { return ReadHints(aReply); },
+                                   [](kj::Exception&& aError) -> PrimaryHints {
+                                     // A peer of a former version answers that it does
+                                     // not know the call.
+                                     if (aError.getType() !=
+                                         kj::Exception::Type::UNIMPLEMENTED) {
+                                       kj::throwFatalException(kj::mv(aError));
+                                     }
+                                     return {};
+                                   });
+      },
+      std::move(aDone));
+  }
+
   void Announce(const std::string& aAddress,
                 const std::string& aGroup,
                 const PrimaryHint& aPrimary,
@@ -570,6 +618,18 @@
     return answer;
   }
 
+  template<typename Reply>
+  static PrimaryHints ReadHints(Reply& aReply)
+  {
+    PrimaryHints hints;
+    for (auto it : aReply.getPrimaries()) {
+      hints[it.getGroup()] = { it.getTerm(),
+                               it.getDatabase(),
+                               microseconds(it.getSeenAgeUs()) };
+    }
+    return hints;
+  }
+
   template<typename Reply>
   static CatalogueDelta ReadDelta(Reply& aReply)
   {
--- a/src/peer/Peer.h
+++ b/src/peer/Peer.h
@@ -93,6 +93,8 @@
   Duration mSeenAge{};
 };
 
+using PrimaryHints = std::map<std::string, PrimaryHint>;
+
 using AnswerCallback = std::function<void(Answer)>;
 
 // A transaction that was begun at a home daemon. Dropping the object rolls the
@@ -131,6 +133,9 @@
                                   std::uint64_t aIncarnation,
                                   double aWanted) = 0;
   virtual PrimaryHint OnPrimary(const std::string& aGroup) = 0;
+  // Returns the hints of these groups, or without any the hints of the groups whose
+  // primary this daemon has not heard from for a while.
+  virtual PrimaryHints OnPrimaries(const std::vector<std::string>& aGroups) = 0;
   virtual void OnAnnounce(const std::string& aGroup, const PrimaryHint& aPrimary) = 0;
   // Stops sending to the group's primary until the group's record shows that this
   // change of primary, or a later one, is complete. Calls `aDone`, on any thread, once
@@ -181,6 +186,12 @@
                        const std::string& aGroup,
                        TimePoint aDeadline,
                        std::function<void(std::optional<PrimaryHint>)> aDone) = 0;
+  // Asks for the hints of several groups, as Handler::OnPrimaries. A peer of a former
+  // version that can't answer passes no hints.
+  virtual void Primaries(const std::string& aAddress,
+                         std::vector<std::string> aGroups,
+                         TimePoint aDeadline,
+                         std::function<void(std::optional<PrimaryHints>)> aDone) = 0;
   // Tells the peer of a new primary. The peer's answer is ignored.
   virtual void Announce(const std::string& aAddress,
                         const std::string& aGroup,
--- a/src/proxy/CoordinatorRun.cpp
+++ b/src/proxy/CoordinatorRun.cpp
@@ -71,6 +71,7 @@
     mIsCoordinator = isCoordinator;
     mPlans.clear();
     mMemberWatch = MemberWatch();
+    mDaemonPoll = DaemonPoll();
     mPendingStandDowns.clear();
     LOG(INFO) << daemon::LogLine(isCoordinator ? "coordinator" : "coordinator_over")
                    .With("fence", mLease.Fence());
@@ -83,6 +84,7 @@
   for (const auto& it : mParts.mFleet.Groups()) {
     StepGroup(it, members, now);
   }
+  PollDaemons(members, now);
 }
 
 void CoordinatorRun::StepMembers(const std::vector<MemberRecord>& aMembers,
@@ -214,27 +216,51 @@
 }
 
 void CoordinatorRun::Execute(const std::string& aGroup,
-                             const PromotionPlan::QueryDaemons&)
+                             const PromotionPlan::QueryDaemons& aAction)
 {
-  for (const auto& it : mParts.mMembers()) {
-    if (it.mName == mSelf.mName) {
-      continue;
+  // Losses of any group are asked for in any case.
+  if (aAction.mIsUrgent) {
+    mDaemonPoll.AskAbout(aGroup);
+  }
+}
+
+void CoordinatorRun::PollDaemons(const std::vector<MemberRecord>& aMembers,
+                                 TimePoint aNow)
+{
+  std::vector<std::string> others;
+  for (const auto& it : aMembers) {
+    if (it.mName != mSelf.mName) {
+      others.push_back(it.mName);
     }
-    auto onHint = [self = shared_from_this(), aGroup, name = it.mName](
-                    std::optional<peer::PrimaryHint> aHint) {
-      self->mParts.mLoop.Post([self, aGroup, name, aHint] {
-        auto* plan = self->FindPlan(aGroup);
-        if (plan == nullptr || !aHint) {
-          return;
-        }
-        self->mMemberWatch.OnAnswer(name, Clock::now());
-        auto silence =
-          aHint->mDatabase.empty() ? std::nullopt : std::optional(aHint->mSeenAge);
-        plan->OnContactReport(name, silence, Clock::now());
-      });
+  }
+  for (auto& it : mDaemonPoll.Next(others, aNow)) {
+    auto onHints = [self = shared_from_this(),
+                    name = it.mDaemon](std::optional<peer::PrimaryHints> aHints) {
+      self->mParts.mLoop.Post(
+        [self, name, hints = std::move(aHints)] { self->OnHints(name, hints); });
     };
-    mPeers->Primary(
-      it.mAddress, aGroup, Clock::now() + kPeerTimeout, std::move(onHint));
+    mPeers->Primaries(AddressOf(aMembers, it.mDaemon),
+                      std::move(it.mGroups),
+                      aNow + kPeerTimeout,
+                      std::move(onHints));
+  }
+}
+
+void CoordinatorRun::OnHints(const std::string& aDaemon,
+                             const std::optional<peer::PrimaryHints>& aHints)
+{
+  auto now = Clock::now();
+  if (!aHints || !mIsCoordinator) {
+    return;
+  }
+  mMemberWatch.OnAnswer(aDaemon, now);
+  for (const auto& it : *aHints) {
+    const auto& hint = it.second;
+    if (auto* plan = FindPlan(it.first)) {
+      auto silence =
+        hint.mDatabase.empty() ? std::nullopt : std::optional(hint.mSeenAge);
+      plan->OnContactReport(aDaemon, silence, now);
+    }
   }
 }
 
--- a/src/proxy/CoordinatorRun.h
+++ b/src/proxy/CoordinatorRun.h
@@ -6,6 +6,7 @@
 #include "proxy/Settings.h"
 #include "proxy/StoreSync.h"
 #include "proxy/Transport.h"
+#include "sesameway/DaemonPoll.h"
 #include "sesameway/Membership.h"
 #include "sesameway/Promotion.h"
 
@@ -67,6 +68,9 @@
   void Execute(const std::string& aGroup, const PromotionPlan::AskStandDown& aAction);
   void Execute(const std::string& aGroup, const PromotionPlan::OrderPromotion& aAction);
   void Execute(const std::string& aGroup, const PromotionPlan::OrderDemotion& aAction);
+  void PollDaemons(const std::vector<MemberRecord>& aMembers, TimePoint aNow);
+  void OnHints(const std::string& aDaemon,
+               const std::optional<peer::PrimaryHints>& aHints);
   // Returns null if the group has no plan or this daemon is no longer the coordinator.
   PromotionPlan* FindPlan(const std::string& aGroup);
 
@@ -77,6 +81,7 @@
   bool mIsCoordinator = false;
   std::map<std::string, PromotionPlan> mPlans;
   MemberWatch mMemberWatch;
+  DaemonPoll mDaemonPoll;
   // When each stand-down request that has not been answered yet was sent, by daemon and
   // group.
   std::map<std::pair<std::string, std::string>, TimePoint> mPendingStandDowns;
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -94,6 +94,7 @@
                                 std::uint64_t aIncarnation,
                                 double aWanted) override;
   peer::PrimaryHint OnPrimary(const std::string& aGroup) override;
+  peer::PrimaryHints OnPrimaries(const std::vector<std::string>& aGroups) override;
   void OnAnnounce(const std::string& aGroup,
                   const peer::PrimaryHint& aPrimary) override;
   void OnStandDown(const std::string& aGroup,
--- a/src/proxy/ProxyPeers.cpp
+++ b/src/proxy/ProxyPeers.cpp
@@ -8,6 +8,9 @@
 
 constexpr Duration kPullTimeout = milliseconds(600);
 constexpr Duration kHelloTimeout = seconds(1);
+// A primary that has left statements unanswered for this long is reported as lost. It
+// is shorter than the time after which the coordinator counts it as failed.
+constexpr Duration kLostPrimaryAge = milliseconds(400);
 
 } // namespace
 
@@ -160,6 +163,25 @@
   return it == mHints.end() ? peer::PrimaryHint{} : it->second;
 }
 
+peer::PrimaryHints Proxy::OnPrimaries(const std::vector<std::string>& aGroups)
+{
+  peer::PrimaryHints hints;
+  std::lock_guard lock(mMutex);
+  for (const auto& it : aGroups) {
+    auto hint = mHints.find(it);
+    hints[it] = hint == mHints.end() ? peer::PrimaryHint{} : hint->second;
+  }
+  if (!aGroups.empty()) {
+    return hints;
+  }
+  for (const auto& it : mHints) {
+    if (!it.second.mDatabase.empty() && it.second.mSeenAge > kLostPrimaryAge) {
+      hints.insert(it);
+    }
+  }
+  return hints;
+}
+
 void Proxy::OnAnnounce(const std::string&, const peer::PrimaryHint&) {}
 
 void Proxy::OnStandDown(const std::string& aGroup,
--- a/test/proxy/PeersTest.cpp
+++ b/test/proxy/PeersTest.cpp
@@ -27,6 +27,10 @@
     return {};
   }
   peer::PrimaryHint OnPrimary(const std::string&) override { return {}; }
+  peer::PrimaryHints OnPrimaries(const std::vector<std::string>&) override
+  {
+    return {};
+  }
   void OnAnnounce(const std::string&, const peer::PrimaryHint&) override {}
   void OnStandDown(const std::string&, std::uint64_t, std::function<void()>) override {}
 };
