Revert "Give idle connections back sooner where the database is full"

Its one connection to the busy service's primary is closed after each statement; the next one needs a new connection, 12 ms of one of two slots. What a later try needs: keep connections that are used again, give back only others.

--- a/include/sesameway/ConnectionPlan.h
+++ b/include/sesameway/ConnectionPlan.h
@@ -68,9 +68,6 @@
   Actions OnOpened(std::uint64_t aConnection, TimePoint aNow);
   // Handles a failure to open a connection; none is opened before `aRetryAt`.
   Actions OnOpenFailed(std::uint64_t aConnection, TimePoint aRetryAt, TimePoint aNow);
-  // Notes that the database refused a connection because all daemons together hold as
-  // many as it accepts. Connections are then kept idle for a shorter time.
-  void OnDatabaseFull();
   // Takes the connection that has been idle longest, of any organisation, for a command
   // of the daemon itself; returns 0 if none is idle. End its use with OnReleased.
   std::uint64_t TakeIdle(TimePoint aNow);
@@ -138,9 +135,6 @@
   TimePoint mNextOpenAt{};
   // Whether the last attempt to open a connection failed.
   bool mIsRefused = false;
-  // How long a connection may be idle where connections are scarce. Halved when the
-  // database is full and raised a little with each connection that it accepts.
-  Duration mIdleLimit = milliseconds(1000);
   // Moving average of the time for which connections are held.
   Duration mAverageHold = milliseconds(40);
 };
--- a/src/core/ConnectionPlan.cpp
+++ b/src/core/ConnectionPlan.cpp
@@ -20,11 +20,6 @@
 // organisation and takes up a place that another daemon could use.
 constexpr std::size_t kScarceConnections = 2;
 constexpr Duration kScarceIdleLimit = seconds(1);
-// Added to the idle time, up to kScarceIdleLimit, with each connection that the
-// database accepts.
-constexpr Duration kIdleLimitStep = milliseconds(5);
-// A shorter idle time is taken as none.
-constexpr Duration kMinIdleLimit = milliseconds(20);
 // Expected wait at a database that accepts no connections. Other daemons close theirs
 // only after seconds, so reads should be routed elsewhere.
 constexpr Duration kRefusedWait = milliseconds(400);
@@ -80,7 +75,6 @@
   Actions actions;
   auto it = mConnections.find(aConnection);
   mIsRefused = false;
-  mIdleLimit = std::min(mIdleLimit + kIdleLimitStep, kScarceIdleLimit);
   if (it != mConnections.end()) {
     it->second.mState = State::Idle;
     it->second.mSince = aNow;
@@ -101,17 +95,6 @@
   return actions;
 }
 
-// With more daemons than connections, idle connections of the one keep out the others,
-// and a daemon can't know how many of them use the database. So each finds the time for
-// which all can keep theirs by additive increase and multiplicative decrease.
-void ConnectionPlan::OnDatabaseFull()
-{
-  mIdleLimit /= 2;
-  if (mIdleLimit < kMinIdleLimit) {
-    mIdleLimit = Duration::zero();
-  }
-}
-
 std::uint64_t ConnectionPlan::TakeIdle(TimePoint aNow)
 {
   auto id = FindIdleLongest();
@@ -175,7 +158,7 @@
   std::erase_if(mConnections, [&](const auto& aIt) {
     const auto& connection = aIt.second;
     bool isOver =
-      connection.mState == State::Idle && aNow - connection.mSince >= mIdleLimit;
+      connection.mState == State::Idle && aNow - connection.mSince >= kScarceIdleLimit;
     if (isOver) {
       aActions.push_back(Close{ aIt.first });
     }
@@ -188,7 +171,7 @@
   auto next = TimePoint::max();
   for (const auto& it : mConnections) {
     if (mLimit <= kScarceConnections && it.second.mState == State::Idle) {
-      next = std::min(next, it.second.mSince + mIdleLimit);
+      next = std::min(next, it.second.mSince + kScarceIdleLimit);
     }
   }
   for (const auto& it : mWaiters) {
--- a/src/proxy/DatabasePool.cpp
+++ b/src/proxy/DatabasePool.cpp
@@ -225,9 +225,6 @@
   if (!isFull) {
     mSuspectUntil = now + kSuspectDuration;
   }
-  if (aLink.error() == ReplyCode::TooManyConnections) {
-    mPlan.OnDatabaseFull();
-  }
   auto pause = isFull ? ExponentialBackoff(kConnectionLimitPause,
                                            mConsecutiveRefusals++,
                                            kOpenRetryPause)
