--- a/test/platform/ObjectStoreTest.cpp
+++ b/test/platform/ObjectStoreTest.cpp
@@ -117,6 +117,8 @@
 {
   CPPUNIT_TEST_SUITE(ObjectStoreTest);
   CPPUNIT_TEST(ReadsAllPagesOfAList);
+  CPPUNIT_TEST(AListingThatCanNotGoOnFails);
+  CPPUNIT_TEST(MembersOfAnotherTypeEndNoProcess);
   CPPUNIT_TEST(CreatesAndReplacesOnCondition);
   CPPUNIT_TEST(AConflictReturnsTheCurrentObject);
   CPPUNIT_TEST(AnErrorStatusIsNoAnswer);
@@ -185,6 +187,35 @@
     CPPUNIT_ASSERT_EQUAL(1, mServer->mConnections);
   }
 
+  // An object that a listing lacks counts as removed, so that databases in use would be
+  // taken for gone.
+  void AListingThatCanNotGoOnFails()
+  {
+    mServer->mAnswers = { MakeHttpResponse(
+      200, R"({"items":[{"meta":7},3],"hasMore":true,"currentRev":9})") };
+    auto listing =
+      Wait<Listing>([&](auto aDone) { mStore->ListKind("servers", Soon(), aDone); });
+    CPPUNIT_ASSERT(!listing);
+  }
+
+  void MembersOfAnotherTypeEndNoProcess()
+  {
+    mServer->mAnswers = { MakeHttpResponse(200,
+                                           R"({"items":[)" + MakeObjectText("a", 3) +
+                                             R"(],"hasMore":"no","currentRev":9})") };
+    auto listing =
+      Wait<Listing>([&](auto aDone) { mStore->ListKind("servers", Soon(), aDone); });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, listing->mObjects.size());
+    mServer->mAnswers = { MakeHttpResponse(200,
+                                           R"({"events":[3,{"object":)" +
+                                             MakeObjectText("a", 4) +
+                                             R"(,"deleted":"no"}],"currentRev":9})") };
+    auto changes = Wait<Changes>(
+      [&](auto aDone) { mStore->ChangesAfter("servers", 3, Soon(), aDone); });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, changes->mObjects.size());
+    CPPUNIT_ASSERT(!changes->mObjects.front().mDeleted);
+  }
+
   void CreatesAndReplacesOnCondition()
   {
     mServer->mAnswers = { MakeHttpResponse(201, MakeObjectText("a", 5)) };
