Log and count a daemon's calls to peers for changes

Its logs cannot tell apart a call that was given up, a parent that was late itself, and a copy that was taken for complete. Added: counters of calls asked, failed and of bytes received; a line for failed calls, at most one a second, with the time waited and the age of what the daemon knows; a line for an answer with objects, with its bytes, its duration and the age of the peer's information; and, in the line of a configuration, the age and the revision of what the daemon knows. No decision changes.

--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -118,7 +118,11 @@
   void PullFromPeers(TimePoint aNow);
   void ConnectToOnePeer();
   void PullFrom(const std::string& aAddress, std::function<void(bool)> aDone);
-  void OnDelta(const peer::CatalogueDelta& aDelta, TimePoint aAskedAt);
+  void OnDelta(const std::string& aAddress,
+               const peer::CatalogueDelta& aDelta,
+               TimePoint aAskedAt);
+  // Logs a pull without an answer, at most once per kFailedPullLogInterval.
+  void OnPullFailed(const std::string& aAddress, TimePoint aAskedAt);
   void UpdatePrimaryHints(TimePoint aNow);
   void LogTotals(TimePoint aNow);
   void DrainSessions();
@@ -162,6 +166,9 @@
   TimePoint mRegisterAgainAt{};
   PeerPullSchedule mPullSchedule;
   TimePoint mNextRelayPullAt{};
+  TimePoint mNextFailedPullLogAt{};
+  // Number of failed pulls since the last one that was logged.
+  int mFailedPulls = 0;
   TimePoint mNextTotalsAt{};
   std::vector<std::string> mSeedPeerAddresses;
 
--- a/src/proxy/ProxyPeers.cpp
+++ b/src/proxy/ProxyPeers.cpp
@@ -1,6 +1,9 @@
 #include "proxy/Proxy.h"
 
+#include "daemon/Log.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace sesameway::proxy {
 
@@ -8,6 +11,7 @@
 
 constexpr Duration kPullTimeout = milliseconds(600);
 constexpr Duration kHelloTimeout = seconds(1);
+constexpr Duration kFailedPullLogInterval = seconds(1);
 // A primary that has left statements unanswered for this long is reported as lost. It
 // is shorter than the time after which the coordinator counts it as failed.
 constexpr Duration kLostPrimaryAge = milliseconds(400);
@@ -47,11 +51,14 @@
 void Proxy::PullFrom(const std::string& aAddress, std::function<void(bool)> aDone)
 {
   auto askedAt = Clock::now();
-  auto onDelta = [this, askedAt, done = std::move(aDone)](
+  mMetrics.Count("pulls.asked");
+  auto onDelta = [this, aAddress, askedAt, done = std::move(aDone)](
                    std::optional<peer::CatalogueDelta> aDelta) {
-    mLoop.Post([this, askedAt, done, delta = std::move(aDelta)] {
+    mLoop.Post([this, aAddress, askedAt, done, delta = std::move(aDelta)] {
       if (delta) {
-        OnDelta(*delta, askedAt);
+        OnDelta(aAddress, *delta, askedAt);
+      } else {
+        OnPullFailed(aAddress, askedAt);
       }
       done(delta && delta->mIsServing);
     });
@@ -62,14 +69,44 @@
   mPeers->Catalogue(aAddress, query, askedAt + kPullTimeout, std::move(onDelta));
 }
 
-void Proxy::OnDelta(const peer::CatalogueDelta& aDelta, TimePoint aAskedAt)
+void Proxy::OnPullFailed(const std::string& aAddress, TimePoint aAskedAt)
+{
+  mMetrics.Count("pulls.failed");
+  ++mFailedPulls;
+  auto now = Clock::now();
+  if (now < mNextFailedPullLogAt) {
+    return;
+  }
+  mNextFailedPullLogAt = now + kFailedPullLogInterval;
+  LOG(WARNING) << daemon::LogLine("pull_failed")
+                    .With("peer", aAddress)
+                    .With("failures", std::exchange(mFailedPulls, 0))
+                    .With("waited_ms", Millis(now - aAskedAt))
+                    .With("contact_age_ms", Millis(now - mSync.Contact()))
+                    .With("revision", mSync.Revision());
+}
+
+void Proxy::OnDelta(const std::string& aAddress,
+                    const peer::CatalogueDelta& aDelta,
+                    TimePoint aAskedAt)
 {
   if (!aDelta.mIsServing) {
     return;
   }
   std::vector<StoredObject> objects;
+  std::size_t bytes = 0;
   for (const auto& it : aDelta.mChanges) {
     objects.push_back({ it.mName, it.mVersion, it.mRevision, it.mBody, it.mDeleted });
+    bytes += it.mBody.size();
+  }
+  if (!objects.empty()) {
+    mMetrics.Count("pulls.bytes", static_cast<std::int64_t>(bytes));
+    LOG(INFO) << daemon::LogLine("peer_changes")
+                   .With("peer", aAddress)
+                   .With("objects", objects.size())
+                   .With("bytes", bytes)
+                   .With("took_ms", Millis(Clock::now() - aAskedAt))
+                   .With("peer_contact_age_ms", Millis(aDelta.mContactAge));
   }
   mSync.Merge(objects, aDelta.mKindRevisions, aAskedAt - aDelta.mContactAge);
   // Ages are subtracted from the time of the query, so that positions are taken as
--- a/src/proxy/ProxyStore.cpp
+++ b/src/proxy/ProxyStore.cpp
@@ -64,6 +64,8 @@
   mCatalogue = std::make_shared<const Catalogue>(std::move(*catalogue));
   LOG(INFO) << daemon::LogLine("configuration")
                  .With("revision", aObject.mRevision)
+                 .With("synced_revision", mSync.Revision())
+                 .With("contact_age_ms", Millis(Clock::now() - mSync.Contact()))
                  .With("routes", mCatalogue->mRoutes.size())
                  .With("keys", mCatalogue->mKeys.size())
                  .With("organisations", mCatalogue->mOrganisations.size());
