Send large objects between daemons in pieces, and answers of limited size

Cause: a daemon asks a peer for all changes in one call that is given up after 600 ms. A configuration of 0.55 MB takes 0.45 s of an empty link of 10 Mbit/s, more than 0.6 s beside anything else. The answer that comes late is dropped, its bytes still fill the link, and the next call, to another peer, begins anew; the same holds for the daemon's fallback to the store. Class: a retry under a timeout that does not grow with the size of the work, and that abandons work which still occupies the resource.

Change: an answer holds 16 KB at most. Small objects come first, in the order of their revisions; an object with a larger body is compressed (Zstandard) and sent in pieces, each after what the asker says that it has, so a lost answer costs one piece and another peer can go on. An answer that left changes out is followed by the next call at once. At most one call to a peer is in progress. A peer of the former version sends and gets whole answers as before.

--- a/include/sesameway/ObjectTable.h
+++ b/include/sesameway/ObjectTable.h
@@ -11,6 +11,10 @@
 
 namespace sesameway {
 
+// The revision up to which a daemon has all changes of each kind of the store's
+// objects.
+using KindRevisions = std::map<std::string, std::uint64_t, std::less<>>;
+
 // A daemon's copy of some of the store's objects, received from the store and from peer
 // daemons. The revision of an object never decreases, so messages may be reordered or
 // repeated.
@@ -29,8 +33,10 @@
   std::vector<StoredObject> ChangesSince(std::uint64_t aRevision) const;
   // The same for a peer daemon that has all changes of each kind up to its own
   // revision. A kind that is not named is taken as unknown to the peer.
-  std::vector<StoredObject> ChangesSince(
-    const std::map<std::string, std::uint64_t>& aRevisionsByKind) const;
+  std::vector<StoredObject> ChangesSince(const KindRevisions& aRevisions) const;
+  // Visits the changes that such a peer daemon lacks.
+  void ForEachChange(const KindRevisions& aRevisions,
+                     const std::function<void(const StoredObject&)>& aVisit) const;
   // Returns the object, null if it is unknown or removed.
   const StoredObject* Find(std::string_view aName) const;
   void ForEach(std::string_view aKind,
--- a/proto/peer.capnp
+++ b/proto/peer.capnp
@@ -93,18 +93,45 @@
   seenAgeUs @3 :UInt64;
 }
 
+# A version of an object in compressed form. `digest` is the XXH3 hash of that form.
+struct EncodedObjectId {
+  name @0 :Text;
+  revision @1 :UInt64;
+  digest @2 :UInt64;
+}
+
+# The part of an object that the sender has received: its first `bytes` bytes.
+struct ReceivedPart {
+  id @0 :EncodedObjectId;
+  bytes @1 :UInt64;
+  complete @2 :Bool;
+}
+
+# A part of an object's compressed body, whose whole size is `size`.
+struct ObjectPiece {
+  id @0 :EncodedObjectId;
+  version @1 :UInt64;
+  size @2 :UInt64;
+  offset @3 :UInt64;
+  bytes @4 :Data;
+}
+
 interface Peer {
   hello @0 (from :MemberInfo) -> (to :MemberInfo, ready :Bool);
   execute @1 (statement :Statement) -> (answer :Answer);
   begin @2 (statement :Statement) -> (answer :Answer, transaction :Transaction);
   # Anti-entropy: returns all changes after the caller's revision, or after the caller's
   # revision of each kind if it names any. Members are returned only if the hash of the
-  # caller's list differs from that of the callee's list.
+  # caller's list differs from that of the callee's list. If the caller takes pieces, the
+  # answer is limited in size: a large object comes as one piece, after what the caller
+  # has received of it, and `incompleteKinds` names the kinds of which more is to come.
   catalogue @3 (revision :UInt64, contactAgeUs :UInt64, membersHash :UInt64,
-                kinds :List(KindRevision)) ->
+                kinds :List(KindRevision), takesPieces :Bool,
+                received :ReceivedPart) ->
       (revision :UInt64, contactAgeUs :UInt64, changes :List(CatalogueChange),
        members :List(MemberInfo), membersAgeUs :UInt64, serving :Bool,
-       heads :List(GroupHead), kinds :List(KindRevision));
+       heads :List(GroupHead), kinds :List(KindRevision), piece :ObjectPiece,
+       incompleteKinds :List(Text));
   # Asks for unused rate limit tokens of an organisation. The callee subtracts the
   # tokens that it gives before it answers. If it gives none, `nextUs` is the time until
   # one may be available.
--- a/src/core/ObjectTable.cpp
+++ b/src/core/ObjectTable.cpp
@@ -58,17 +58,25 @@
 }
 
 std::vector<StoredObject> ObjectTable::ChangesSince(
-  const std::map<std::string, std::uint64_t>& aRevisionsByKind) const
+  const KindRevisions& aRevisions) const
 {
   std::vector<StoredObject> changes;
+  ForEachChange(aRevisions,
+                [&](const StoredObject& aObject) { changes.push_back(aObject); });
+  return changes;
+}
+
+void ObjectTable::ForEachChange(
+  const KindRevisions& aRevisions,
+  const std::function<void(const StoredObject&)>& aVisit) const
+{
   for (const auto& it : mObjects) {
-    auto known = aRevisionsByKind.find(std::string(KindOf(it.first)));
-    auto revision = known == aRevisionsByKind.end() ? 0 : known->second;
+    auto known = aRevisions.find(KindOf(it.first));
+    auto revision = known == aRevisions.end() ? 0 : known->second;
     if (it.second.mRevision > revision) {
-      changes.push_back(it.second);
+      aVisit(it.second);
     }
   }
-  return changes;
 }
 
 const StoredObject* ObjectTable::Find(std::string_view aName) const
--- a/src/peer/CapnpPeers.cpp
+++ b/src/peer/CapnpPeers.cpp
@@ -116,6 +116,70 @@
   }
 }
 
+EncodedObjectId ReadId(const wire::EncodedObjectId::Reader& aId)
+{
+  return { aId.getName(), aId.getRevision(), aId.getDigest() };
+}
+
+void FillId(const EncodedObjectId& aId, wire::EncodedObjectId::Builder aTo)
+{
+  aTo.setName(aId.mName);
+  aTo.setRevision(aId.mRevision);
+  aTo.setDigest(aId.mDigest);
+}
+
+ObjectPiece ReadPiece(const wire::ObjectPiece::Reader& aPiece)
+{
+  auto bytes = aPiece.getBytes();
+  return { ReadId(aPiece.getId()),
+           aPiece.getVersion(),
+           aPiece.getSize(),
+           aPiece.getOffset(),
+           std::string(reinterpret_cast<const char*>(bytes.begin()), bytes.size()) };
+}
+
+void FillPiece(const ObjectPiece& aPiece, wire::ObjectPiece::Builder aTo)
+{
+  FillId(aPiece.mId, aTo.initId());
+  aTo.setVersion(aPiece.mVersion);
+  aTo.setSize(aPiece.mSize);
+  aTo.setOffset(aPiece.mOffset);
+  aTo.setBytes(
+    { reinterpret_cast<const kj::byte*>(aPiece.mBytes.data()), aPiece.mBytes.size() });
+}
+
+CatalogueQuery ReadQuery(const wire::Peer::CatalogueParams::Reader& aParams)
+{
+  CatalogueQuery query{ aParams.getRevision(),
+                        microseconds(aParams.getContactAgeUs()),
+                        aParams.getMembersHash(),
+                        ReadKinds(aParams.getKinds()),
+                        aParams.getTakesPieces() };
+  if (aParams.hasReceived()) {
+    auto received = aParams.getReceived();
+    query.mReceived = { ReadId(received.getId()),
+                        received.getBytes(),
+                        received.getComplete() };
+  }
+  return query;
+}
+
+void FillQuery(const CatalogueQuery& aQuery, wire::Peer::CatalogueParams::Builder aTo)
+{
+  aTo.setRevision(aQuery.mRevision);
+  aTo.setContactAgeUs(
+    std::chrono::duration_cast<microseconds>(aQuery.mContactAge).count());
+  aTo.setMembersHash(aQuery.mMembersHash);
+  FillKinds(aQuery.mKindRevisions, aTo.initKinds(aQuery.mKindRevisions.size()));
+  aTo.setTakesPieces(aQuery.mTakesPieces);
+  if (aQuery.mReceived) {
+    auto received = aTo.initReceived();
+    FillId(aQuery.mReceived->mId, received.initId());
+    received.setBytes(aQuery.mReceived->mBytes);
+    received.setComplete(aQuery.mReceived->mIsComplete);
+  }
+}
+
 // Serves an open transaction of the handler to the peer that began it.
 class TransactionServer final : public wire::Transaction::Server
 {
@@ -196,11 +260,7 @@
 
   kj::Promise<void> catalogue(CatalogueContext aContext) override
   {
-    auto params = aContext.getParams();
-    auto delta = mHandler->OnCatalogue({ params.getRevision(),
-                                         microseconds(params.getContactAgeUs()),
-                                         params.getMembersHash(),
-                                         ReadKinds(params.getKinds()) });
+    auto delta = mHandler->OnCatalogue(ReadQuery(aContext.getParams()));
     auto results = aContext.getResults();
     results.setServing(delta.mIsServing);
     results.setRevision(delta.mRevision);
@@ -231,6 +291,13 @@
       heads[n].setPosition(it.mHead.mPosition);
       heads[n].setAgeUs(std::chrono::duration_cast<microseconds>(it.mAge).count());
     }
+    if (delta.mPiece) {
+      FillPiece(*delta.mPiece, results.initPiece());
+    }
+    auto kinds = results.initIncompleteKinds(delta.mIncompleteKinds.size());
+    for (unsigned n = 0; n < kinds.size(); ++n) {
+      kinds.set(n, delta.mIncompleteKinds[n]);
+    }
     return kj::READY_NOW;
   }
 
@@ -451,12 +518,7 @@
       aDeadline,
       [aQuery](wire::Peer::Client aPeer) {
         auto request = aPeer.catalogueRequest();
-        request.setRevision(aQuery.mRevision);
-        request.setContactAgeUs(
-          std::chrono::duration_cast<microseconds>(aQuery.mContactAge).count());
-        request.setMembersHash(aQuery.mMembersHash);
-        FillKinds(aQuery.mKindRevisions,
-                  request.initKinds(aQuery.mKindRevisions.size()));
+        FillQuery(aQuery, request);
         return request.send().then([](auto aReply) { return ReadDelta(aReply); });
       },
       std::move(aDone));
@@ -648,6 +710,12 @@
           std::string(reinterpret_cast<const char*>(body.begin()), body.size()),
           it.getDeleted() });
     }
+    if (aReply.hasPiece()) {
+      delta.mPiece = ReadPiece(aReply.getPiece());
+    }
+    for (auto it : aReply.getIncompleteKinds()) {
+      delta.mIncompleteKinds.emplace_back(it);
+    }
     for (auto it : aReply.getMembers()) {
       delta.mMembers.push_back(Read(it));
     }
--- a/src/peer/Peer.h
+++ b/src/peer/Peer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "sesameway/GroupRequest.h"
+#include "sesameway/ObjectTransfer.h"
 
 #include <cstdint>
 #include <functional>
@@ -35,10 +36,6 @@
   bool mDeleted = false;
 };
 
-// The revision up to which a daemon has all changes of each kind of the store's
-// objects.
-using KindRevisions = std::map<std::string, std::uint64_t>;
-
 // A request for the changes that the requesting daemon does not have yet.
 struct CatalogueQuery
 {
@@ -53,6 +50,10 @@
   // so with one revision for all, the changes of a busy kind would be sent again until
   // each other kind has been read too.
   KindRevisions mKindRevisions{};
+  // Whether the answer may be limited to kMaxAnswerBytes. The requesting daemon then
+  // asks again for what was left out.
+  bool mTakesPieces = false;
+  std::optional<ReceivedPart> mReceived{};
 };
 
 // The end of a group's log, as reported by the primary to the sending daemon. The log
@@ -76,6 +77,9 @@
   // revision was the newest.
   Duration mContactAge{};
   std::vector<CatalogueChange> mChanges;
+  std::optional<ObjectPiece> mPiece;
+  // The kinds of which changes were left out, because the answer is limited in size.
+  std::vector<std::string> mIncompleteKinds;
   // Empty if the requesting daemon has the same list or the sending daemon has none.
   std::vector<Member> mMembers;
   // Upper bound of the time since the platform was asked for the list.
--- /dev/null
+++ b/src/proxy/PeerPulls.cpp
@@ -0,0 +1,141 @@
+#include "proxy/PeerPulls.h"
+
+#include "daemon/Log.h"
+
+#include <utility>
+
+namespace sesameway::proxy {
+
+namespace {
+
+constexpr Duration kPullTimeout = milliseconds(600);
+constexpr Duration kFailureLogInterval = seconds(1);
+
+} // namespace
+
+PeerPulls::PeerPulls(Loop& aLoop,
+                     daemon::Metrics& aMetrics,
+                     StoreSync& aSync,
+                     OnHeads aOnHeads)
+  : mLoop(aLoop)
+  , mMetrics(aMetrics)
+  , mSync(aSync)
+  , mOnHeads(std::move(aOnHeads))
+{
+}
+
+void PeerPulls::Pull(const std::string& aAddress, Done aDone)
+{
+  if (mPeers != nullptr && mAsked.insert(aAddress).second) {
+    Ask(aAddress, ChangePull(mSync.Revisions()), aDone);
+  }
+}
+
+void PeerPulls::Ask(const std::string& aAddress, ChangePull aPull, const Done& aDone)
+{
+  mMetrics.Count("pulls.asked");
+  auto askedAt = Clock::now();
+  peer::CatalogueQuery query;
+  query.mRevision = mSync.Revision();
+  query.mContactAge = askedAt - mSync.Contact();
+  query.mKindRevisions = aPull.Revisions();
+  query.mTakesPieces = true;
+  query.mReceived = mReceiver.Received();
+  auto onDelta = [this, aAddress, aDone, askedAt, pull = std::move(aPull)](
+                   std::optional<peer::CatalogueDelta> aDelta) {
+    mLoop.Post(
+      [this, aAddress, aDone, askedAt, pull, delta = std::move(aDelta)]() mutable {
+        bool isMore = false;
+        if (delta) {
+          isMore = Apply(aAddress, *delta, askedAt, pull);
+        } else {
+          LogFailure(aAddress, askedAt);
+        }
+        aDone(delta && delta->mIsServing);
+        if (isMore) {
+          Ask(aAddress, std::move(pull), aDone);
+        } else {
+          mAsked.erase(aAddress);
+        }
+      });
+  };
+  mPeers->Catalogue(aAddress, query, askedAt + kPullTimeout, std::move(onDelta));
+}
+
+bool PeerPulls::Apply(const std::string& aAddress,
+                      const peer::CatalogueDelta& aDelta,
+                      TimePoint aAskedAt,
+                      ChangePull& aPull)
+{
+  if (!aDelta.mIsServing) {
+    return false;
+  }
+  // An answer that brings nothing new does not lead to the next call: two peers that
+  // are asked at the same time would otherwise both send everything.
+  bool isNew = !aDelta.mChanges.empty();
+  std::vector<StoredObject> objects;
+  std::size_t bytes = 0;
+  for (const auto& it : aDelta.mChanges) {
+    objects.push_back({ it.mName, it.mVersion, it.mRevision, it.mBody, it.mDeleted });
+    bytes += it.mBody.size();
+  }
+  if (aDelta.mPiece) {
+    bytes += aDelta.mPiece->mBytes.size();
+    isNew |= AddPiece(aAddress, *aDelta.mPiece, objects);
+  }
+  mMetrics.Count("pulls.bytes", static_cast<std::int64_t>(bytes));
+  if (!objects.empty()) {
+    LOG(INFO) << daemon::LogLine("peer_changes")
+                   .With("peer", aAddress)
+                   .With("objects", objects.size())
+                   .With("bytes", bytes)
+                   .With("incomplete_kinds", aDelta.mIncompleteKinds.size())
+                   .With("took_ms", Millis(Clock::now() - aAskedAt))
+                   .With("peer_contact_age_ms", Millis(aDelta.mContactAge));
+  }
+  mSync.Merge(objects,
+              aPull.OnAnswer(aDelta.mKindRevisions, aDelta.mIncompleteKinds),
+              aAskedAt - aDelta.mContactAge);
+  mOnHeads(aDelta.mHeads, aAskedAt);
+  return isNew && !aDelta.mIncompleteKinds.empty();
+}
+
+bool PeerPulls::AddPiece(const std::string& aAddress,
+                         const ObjectPiece& aPiece,
+                         std::vector<StoredObject>& aObjects)
+{
+  auto object = mReceiver.Add(aPiece, Clock::now());
+  if (!object) {
+    if (object.error() != PieceError::OutOfPlace) {
+      LOG(WARNING) << daemon::LogLine("piece_refused")
+                        .With("peer", aAddress)
+                        .With("object", aPiece.mId.mName)
+                        .With("revision", aPiece.mId.mRevision)
+                        .With("reason", kPieceErrorNames.Name(object.error()));
+    }
+    return false;
+  }
+  if (*object) {
+    aObjects.push_back(std::move(**object));
+  }
+  return true;
+}
+
+void PeerPulls::LogFailure(const std::string& aAddress, TimePoint aAskedAt)
+{
+  mMetrics.Count("pulls.failed");
+  ++mFailures;
+  auto now = Clock::now();
+  if (now < mNextFailureLogAt) {
+    return;
+  }
+  mNextFailureLogAt = now + kFailureLogInterval;
+  LOG(WARNING) << daemon::LogLine("pull_failed")
+                    .With("peer", aAddress)
+                    .With("failures", std::exchange(mFailures, 0))
+                    .With("waited_ms", Millis(now - aAskedAt))
+                    .With("contact_age_ms", Millis(now - mSync.Contact()))
+                    .With("revision", mSync.Revision());
+}
+
+} // namespace sesameway::proxy
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -74,6 +74,11 @@
   , mTick(aLoop)
   , mLinkedPeers(mSelf.mName)
   , mPullSchedule(mSelf.mName, mStartedAt)
+  , mPulls(
+      aLoop,
+      mMetrics,
+      mSync,
+      [this](const auto& aHeads, TimePoint aAskedAt) { OnPeerHeads(aHeads, aAskedAt); })
   , mSeedPeerAddresses(mSettings.mSeedPeerAddresses)
 {
   CoordinatorRun::Parts parts{ mLoop,
@@ -93,6 +98,7 @@
 {
   mPeers = aPeers;
   mCoordinator->SetPeers(aPeers);
+  mPulls.SetPeers(aPeers);
   mAdmission->Start(aPeers);
   // The proxy does not call ShareKeeper::ReleaseSlots: a stopping daemon keeps its
   // slots because it usually restarts soon.
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -10,6 +10,7 @@
 #include "proxy/CoordinatorRun.h"
 #include "proxy/DatabaseFleet.h"
 #include "proxy/Loop.h"
+#include "proxy/PeerPulls.h"
 #include "proxy/Settings.h"
 #include "proxy/StoreSync.h"
 #include "sesameway/DrainPlan.h"
@@ -117,12 +118,7 @@
   // same region answers.
   void PullFromPeers(TimePoint aNow);
   void ConnectToOnePeer();
-  void PullFrom(const std::string& aAddress, std::function<void(bool)> aDone);
-  void OnDelta(const std::string& aAddress,
-               const peer::CatalogueDelta& aDelta,
-               TimePoint aAskedAt);
-  // Logs a pull without an answer, at most once per kFailedPullLogInterval.
-  void OnPullFailed(const std::string& aAddress, TimePoint aAskedAt);
+  void OnPeerHeads(const std::vector<peer::GroupHead>& aHeads, TimePoint aAskedAt);
   void UpdatePrimaryHints(TimePoint aNow);
   void LogTotals(TimePoint aNow);
   void DrainSessions();
@@ -165,10 +161,8 @@
   bool mIsRegistering = false;
   TimePoint mRegisterAgainAt{};
   PeerPullSchedule mPullSchedule;
+  PeerPulls mPulls;
   TimePoint mNextRelayPullAt{};
-  TimePoint mNextFailedPullLogAt{};
-  // Number of failed pulls since the last one that was logged.
-  int mFailedPulls = 0;
   TimePoint mNextTotalsAt{};
   std::vector<std::string> mSeedPeerAddresses;
 
--- a/src/proxy/ProxyPeers.cpp
+++ b/src/proxy/ProxyPeers.cpp
@@ -1,17 +1,12 @@
 #include "proxy/Proxy.h"
 
-#include "daemon/Log.h"
-
 #include <algorithm>
-#include <utility>
 
 namespace sesameway::proxy {
 
 namespace {
 
-constexpr Duration kPullTimeout = milliseconds(600);
 constexpr Duration kHelloTimeout = seconds(1);
-constexpr Duration kFailedPullLogInterval = seconds(1);
 // A primary that has left statements unanswered for this long is reported as lost. It
 // is shorter than the time after which the coordinator counts it as failed.
 constexpr Duration kLostPrimaryAge = milliseconds(400);
@@ -29,7 +24,7 @@
   }
   std::erase(addresses, mSelf.mAddress);
   for (auto it : mPullSchedule.Next(mSync.Contact(), addresses.size(), aNow)) {
-    PullFrom(addresses[it], [](bool) {});
+    mPulls.Pull(addresses[it], [](bool) {});
   }
 }
 
@@ -48,70 +43,11 @@
                 });
 }
 
-void Proxy::PullFrom(const std::string& aAddress, std::function<void(bool)> aDone)
-{
-  auto askedAt = Clock::now();
-  mMetrics.Count("pulls.asked");
-  auto onDelta = [this, aAddress, askedAt, done = std::move(aDone)](
-                   std::optional<peer::CatalogueDelta> aDelta) {
-    mLoop.Post([this, aAddress, askedAt, done, delta = std::move(aDelta)] {
-      if (delta) {
-        OnDelta(aAddress, *delta, askedAt);
-      } else {
-        OnPullFailed(aAddress, askedAt);
-      }
-      done(delta && delta->mIsServing);
-    });
-  };
-  peer::CatalogueQuery query{
-    mSync.Revision(), askedAt - mSync.Contact(), 0, mSync.KindRevisions()
-  };
-  mPeers->Catalogue(aAddress, query, askedAt + kPullTimeout, std::move(onDelta));
-}
-
-void Proxy::OnPullFailed(const std::string& aAddress, TimePoint aAskedAt)
+// Ages are subtracted from the time of the query, so that positions are taken as older
+// rather than newer than they are.
+void Proxy::OnPeerHeads(const std::vector<peer::GroupHead>& aHeads, TimePoint aAskedAt)
 {
-  mMetrics.Count("pulls.failed");
-  ++mFailedPulls;
-  auto now = Clock::now();
-  if (now < mNextFailedPullLogAt) {
-    return;
-  }
-  mNextFailedPullLogAt = now + kFailedPullLogInterval;
-  LOG(WARNING) << daemon::LogLine("pull_failed")
-                    .With("peer", aAddress)
-                    .With("failures", std::exchange(mFailedPulls, 0))
-                    .With("waited_ms", Millis(now - aAskedAt))
-                    .With("contact_age_ms", Millis(now - mSync.Contact()))
-                    .With("revision", mSync.Revision());
-}
-
-void Proxy::OnDelta(const std::string& aAddress,
-                    const peer::CatalogueDelta& aDelta,
-                    TimePoint aAskedAt)
-{
-  if (!aDelta.mIsServing) {
-    return;
-  }
-  std::vector<StoredObject> objects;
-  std::size_t bytes = 0;
-  for (const auto& it : aDelta.mChanges) {
-    objects.push_back({ it.mName, it.mVersion, it.mRevision, it.mBody, it.mDeleted });
-    bytes += it.mBody.size();
-  }
-  if (!objects.empty()) {
-    mMetrics.Count("pulls.bytes", static_cast<std::int64_t>(bytes));
-    LOG(INFO) << daemon::LogLine("peer_changes")
-                   .With("peer", aAddress)
-                   .With("objects", objects.size())
-                   .With("bytes", bytes)
-                   .With("took_ms", Millis(Clock::now() - aAskedAt))
-                   .With("peer_contact_age_ms", Millis(aDelta.mContactAge));
-  }
-  mSync.Merge(objects, aDelta.mKindRevisions, aAskedAt - aDelta.mContactAge);
-  // Ages are subtracted from the time of the query, so that positions are taken as
-  // older rather than newer than they are.
-  for (const auto& it : aDelta.mHeads) {
+  for (const auto& it : aHeads) {
     mFleet.OnPeerHead(it.mGroup, it.mHead, aAskedAt - it.mAge);
   }
 }
@@ -165,19 +101,27 @@
 peer::CatalogueDelta Proxy::OnCatalogue(const peer::CatalogueQuery& aQuery)
 {
   peer::CatalogueDelta delta;
-  // Contact and revisions are read before the objects, so that the objects are at least
-  // as recent as all of them.
+  // The contact is read before the objects, so that the objects are at least as recent.
   auto contact = mSync.Contact();
+  ChangeBatch batch;
+  if (aQuery.mTakesPieces) {
+    batch = mSync.NextChanges({ aQuery.mKindRevisions, aQuery.mReceived });
+  } else {
+    batch.mRevisions = mSync.Revisions();
+    batch.mObjects = aQuery.mKindRevisions.empty()
+                       ? mSync.ChangesSince(aQuery.mRevision)
+                       : mSync.ChangesSince(aQuery.mKindRevisions);
+  }
   delta.mRevision = mSync.Revision();
-  delta.mKindRevisions = mSync.KindRevisions();
+  delta.mKindRevisions = std::move(batch.mRevisions);
   delta.mIsServing = delta.mRevision != 0;
   delta.mContactAge = Clock::now() - contact;
-  bool namesKinds = !aQuery.mKindRevisions.empty();
-  for (auto& it : namesKinds ? mSync.ChangesSince(aQuery.mKindRevisions)
-                             : mSync.ChangesSince(aQuery.mRevision)) {
+  for (auto& it : batch.mObjects) {
     delta.mChanges.push_back(
       { it.mName, it.mVersion, it.mRevision, std::move(it.mBody), it.mDeleted });
   }
+  delta.mPiece = std::move(batch.mPiece);
+  delta.mIncompleteKinds = std::move(batch.mIncompleteKinds);
   auto now = Clock::now();
   std::lock_guard lock(mMutex);
   for (const auto& it : mHeads) {
--- a/src/proxy/ProxyStore.cpp
+++ b/src/proxy/ProxyStore.cpp
@@ -262,7 +262,7 @@
       address = it.mAddress;
     }
   }
-  PullFrom(address, [this](bool aHasAnswered) {
+  mPulls.Pull(address, [this](bool aHasAnswered) {
     aHasAnswered ? mWatchers.OnAnswer() : mWatchers.OnNoAnswer();
   });
 }
--- a/src/proxy/StoreSync.cpp
+++ b/src/proxy/StoreSync.cpp
@@ -55,7 +55,7 @@
 }
 
 void StoreSync::Merge(const std::vector<StoredObject>& aObjects,
-                      const std::map<std::string, std::uint64_t>& aRevisions,
+                      const KindRevisions& aRevisions,
                       TimePoint aContact)
 {
   ApplyAll(aObjects);
@@ -69,7 +69,9 @@
     it->mIsListed |= revision->second != 0;
   }
   CheckInitialSync();
-  NoteContact(aContact);
+  if (aRevisions.count(kOwnKind) != 0) {
+    NoteContact(aContact);
+  }
 }
 
 void StoreSync::SetFollowing(bool aIsFollowing)
@@ -108,7 +110,7 @@
   return 0;
 }
 
-std::map<std::string, std::uint64_t> StoreSync::KindRevisions() const
+KindRevisions StoreSync::Revisions() const
 {
   std::lock_guard lock(mMutex);
   return mKindRevisions;
@@ -120,13 +122,18 @@
   return mTable.ChangesSince(aRevision);
 }
 
-std::vector<StoredObject> StoreSync::ChangesSince(
-  const std::map<std::string, std::uint64_t>& aRevisions) const
+std::vector<StoredObject> StoreSync::ChangesSince(const KindRevisions& aRevisions) const
 {
   std::lock_guard lock(mMutex);
   return mTable.ChangesSince(aRevisions);
 }
 
+ChangeBatch StoreSync::NextChanges(const ChangeRequest& aRequest)
+{
+  std::lock_guard lock(mMutex);
+  return mSender.Next(mTable, mKindRevisions, aRequest);
+}
+
 std::optional<StoredObject> StoreSync::Find(const std::string& aName) const
 {
   std::lock_guard lock(mMutex);
@@ -256,7 +263,7 @@
 {
   auto revision = std::numeric_limits<std::uint64_t>::max();
   bool isKnown = true;
-  std::map<std::string, std::uint64_t> kinds;
+  KindRevisions kinds;
   for (const auto& it : mStates) {
     isKnown &= it->mIsListed;
     revision = std::min(revision, it->mRevision);
--- a/src/proxy/StoreSync.h
+++ b/src/proxy/StoreSync.h
@@ -2,10 +2,9 @@
 
 #include "platform/Platform.h"
 #include "proxy/Loop.h"
-#include "sesameway/ObjectTable.h"
+#include "sesameway/ObjectTransfer.h"
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -42,10 +41,10 @@
 
   StoreSync(Loop& aLoop, platform::ChangeFeed& aFeed, std::vector<Kind> aKinds);
   void Start(Listener aListener);
-  // Merges a peer's objects, which are complete up to the peer's revision of each kind
-  // and reflect the store at the time `aContact`.
+  // Merges a peer's objects. The kinds in `aRevisions` are complete up to the given
+  // revision, and reflect the store at the time `aContact`.
   void Merge(const std::vector<StoredObject>& aObjects,
-             const std::map<std::string, std::uint64_t>& aRevisions,
+             const KindRevisions& aRevisions,
              TimePoint aContact);
   // Applies the object that a write found or left in the store. Does nothing if the
   // store did not answer or holds no such object.
@@ -63,12 +62,13 @@
   std::uint64_t OwnRevision() const;
   // The revision of each kind up to which all its changes have been applied; kinds that
   // have not been received yet are left out.
-  std::map<std::string, std::uint64_t> KindRevisions() const;
+  KindRevisions Revisions() const;
   // Returns the objects that a peer lacks which has all changes up to a revision, or up
   // to its own revision of each kind.
   std::vector<StoredObject> ChangesSince(std::uint64_t aRevision) const;
-  std::vector<StoredObject> ChangesSince(
-    const std::map<std::string, std::uint64_t>& aRevisions) const;
+  std::vector<StoredObject> ChangesSince(const KindRevisions& aRevisions) const;
+  // Returns the next part of what a peer lacks, limited in size.
+  ChangeBatch NextChanges(const ChangeRequest& aRequest);
   std::optional<StoredObject> Find(const std::string& aName) const;
   // The latest time at which no change of kOwnKind is known to have been missing.
   TimePoint Contact() const;
@@ -103,7 +103,8 @@
   bool mIsStoreUnreachable = false;
   mutable std::mutex mMutex;
   ObjectTable mTable;
-  std::map<std::string, std::uint64_t> mKindRevisions;
+  KindRevisions mKindRevisions;
+  ChangeSender mSender;
   std::uint64_t mRevision = 0;
   TimePoint mContact{};
 };
--- a/test/core/ObjectTableTest.cpp
+++ b/test/core/ObjectTableTest.cpp
@@ -87,7 +87,7 @@
     for (std::uint64_t n = 0; n < 300; ++n) {
       table.Apply(At("members/" + std::to_string(n), 2 + n));
     }
-    std::map<std::string, std::uint64_t> known{ { "servers", 1 }, { "members", 300 } };
+    KindRevisions known{ { "servers", 1 }, { "members", 300 } };
     auto changes = table.ChangesSince(known);
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, changes.size());
     CPPUNIT_ASSERT_EQUAL(std::string("members/299"), changes.front().mName);
