Revisions contain the generation of the store

The users' store may return from an outage with a copy some seconds old. Revisions are then given out again, so a watch from a lost one may be answered although changes are missed, a conditional write may hit another version with the same number, and a copy of a peer would be taken for newer than the store. The store counts its returns in a header.

Change: in this program a revision has that count in its upper bits, so that every comparison that exists (copies, peers, records) orders the generations rightly. The adapter alone adds and removes it. A watch answered in another generation ends like one whose history is gone; a write that was conditional on a lost revision and was applied counts as unanswered; a missing object has the version 0 of its generation, so that its loss can be told.

Weighed: a field of its own beside each revision. It would have to be compared at each of some forty places, and be sent to peers of the former version, which could not.

RevisionsOfALaterGenerationAreNewer, AWatchFromAnEarlierGenerationEnds and AWriteThatHitARevisionGivenOutAgainIsNoAnswer are new; without a header all stays as it was.

--- a/src/platform/Platform.h
+++ b/src/platform/Platform.h
@@ -53,12 +53,12 @@
   virtual void List(const std::string& aPrefix,
                     TimePoint aDeadline,
                     std::function<void(std::optional<Listing>)> aDone) = 0;
-  // Passes an object with version 0 if it does not exist.
+  // Passes an object with version 0, in the store's generation, if it does not exist.
   virtual void Get(const std::string& aName,
                    TimePoint aDeadline,
                    std::function<void(std::optional<Object>)> aDone) = 0;
   // Replaces the object, or removes it, if its version is the expected one. An expected
-  // version of 0 creates the object if it does not exist.
+  // version of 0, in any generation, creates the object if it does not exist.
   virtual void Put(const std::string& aName,
                    const std::string& aBody,
                    std::uint64_t aExpectedVersion,
--- a/test/platform/ObjectStoreTest.cpp
+++ b/test/platform/ObjectStoreTest.cpp
@@ -2,6 +2,7 @@
 #include "Decode.h"
 #include "HttpServer.h"
 #include "SettingsFile.h"
+#include "sesameway/StoreRevision.h"
 
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
@@ -98,10 +99,12 @@
   tcp::acceptor mAcceptor;
 };
 
-std::string MakeHttpResponse(int aStatus, const std::string& aBody)
+// Responds with the store's generation, unless it is 0.
+std::string MakeHttpResponse(int aStatus, const std::string& aBody, int aGeneration = 0)
 {
-  return "HTTP/1.1 " + std::to_string(aStatus) +
-         " X\r\nContent-Type: application/json\r\nContent-Length: " +
+  auto header = aGeneration == 0 ? "" : "\r\nStore-Era: " + std::to_string(aGeneration);
+  return "HTTP/1.1 " + std::to_string(aStatus) + " X" + header +
+         "\r\nContent-Type: application/json\r\nContent-Length: " +
          std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
 }
 
@@ -126,6 +129,9 @@
   CPPUNIT_TEST(FollowsChanges);
   CPPUNIT_TEST(NoticesThatTheHistoryIsGone);
   CPPUNIT_TEST(InvalidBodyIsNoAnswer);
+  CPPUNIT_TEST(RevisionsOfALaterGenerationAreNewer);
+  CPPUNIT_TEST(AWatchFromAnEarlierGenerationEnds);
+  CPPUNIT_TEST(AWriteThatHitARevisionGivenOutAgainIsNoAnswer);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -167,6 +173,53 @@
     });
   }
 
+  void RevisionsOfALaterGenerationAreNewer()
+  {
+    auto body =
+      R"({"items":[)" + MakeObjectText("a", 3) + R"(],"hasMore":false,"currentRev":9})";
+    mServer->mAnswers = { MakeHttpResponse(200, body),
+                          MakeHttpResponse(200, body, 2),
+                          MakeHttpResponse(200, MakeObjectText("a", 4), 2) };
+    auto list = [&](auto aDone) { mStore->ListKind("servers", Soon(), aDone); };
+    auto former = Wait<Listing>(list);
+    auto later = Wait<Listing>(list);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 9 }, former->mRevision);
+    CPPUNIT_ASSERT_EQUAL(MakeRevision(2, 9), later->mRevision);
+    CPPUNIT_ASSERT_EQUAL(MakeRevision(2, 3), later->mObjects.front().mVersion);
+    // The store is told the revision as it numbers it.
+    auto result = Put(MakeRevision(2, 3));
+    CPPUNIT_ASSERT_EQUAL(MakeRevision(2, 4), result->mObject.mRevision);
+  }
+
+  // Guards against changes that are missed: the number of a lost revision has been
+  // given out again, so the store answers a watch from it.
+  void AWatchFromAnEarlierGenerationEnds()
+  {
+    auto body = R"({"events":[],"currentRev":12})";
+    mServer->mAnswers = { MakeHttpResponse(200, body, 1),
+                          MakeHttpResponse(200, body, 1) };
+    auto watch = [&](std::uint64_t aRevision) {
+      return Wait<Changes>(
+        [&](auto aDone) { mStore->ChangesAfter("servers", aRevision, Soon(), aDone); });
+    };
+    CPPUNIT_ASSERT(watch(9)->mIsHistoryGone);
+    auto changes = watch(MakeRevision(1, 9));
+    CPPUNIT_ASSERT(!changes->mIsHistoryGone);
+    CPPUNIT_ASSERT_EQUAL(MakeRevision(1, 12), changes->mRevision);
+    CPPUNIT_ASSERT_EQUAL(std::string("GET /objects/servers?watch=9"),
+                         mServer->mRequests.back().substr(0, 28));
+  }
+
+  void AWriteThatHitARevisionGivenOutAgainIsNoAnswer()
+  {
+    mServer->mAnswers = { MakeHttpResponse(200, MakeObjectText("a", 6), 1),
+                          MakeHttpResponse(409, MakeObjectText("a", 6), 1) };
+    CPPUNIT_ASSERT(!Put(5));
+    auto conflict = Put(5);
+    CPPUNIT_ASSERT(conflict && !conflict->mApplied);
+    CPPUNIT_ASSERT_EQUAL(MakeRevision(1, 6), conflict->mObject.mRevision);
+  }
+
   void ReadsAllPagesOfAList()
   {
     mServer->mAnswers = { MakeHttpResponse(200,
