Slots of rate limits after the store has lost changes of their table

When the store returns with an older table, a slot may be shown at a daemon that had returned it, while its new holder, whose entry is lost, still uses it: the limit is exceeded. A daemon that restarted in the lost seconds finds its previous incarnation and takes it for its successor, and then holds no slots for good. A table that is lost whole was ignored, as its version 0 was older than the known one.

Change: for 17 s, the longest interval between two reads and a margin, a daemon uses only slots that it used before and that the table shows as its own; and it registers again.

Each of the four new tests fails without its part: with the check of the generation removed, SlotsOfAnOlderCopyOfTheTableAreNotUsedAtOnce and ADaemonWhoseEntryIsLostRegistersAgain fail.

Not proved: a daemon that restarts after the return has nothing to compare the table with.

--- a/include/sesameway/Shares.h
+++ b/include/sesameway/Shares.h
@@ -32,6 +32,10 @@
 // Bounds of the interval between reads of the table, which grows with the fleet.
 inline constexpr Duration kMinTableReadInterval = seconds(2);
 inline constexpr Duration kMaxTableReadInterval = seconds(15);
+// After the store has returned with an older copy, a daemon does not use slots that it
+// did not hold before for this long: their holder, whose entry is lost, uses them until
+// it has read the table again.
+inline constexpr Duration kLostTableWait = kMaxTableReadInterval + seconds(2);
 // How long a holder must be missing from the platform's list of VMs before it is marked
 // as possibly gone.
 inline constexpr Duration kAbsenceTimeout = seconds(5);
@@ -163,6 +167,7 @@
   Duration TurnDelay(const std::string& aHolder) const;
   void BackOff(TimePoint aNow);
   void UsePreviousIfAllowed();
+  void OnTableLost(TimePoint aNow);
   void StopUsing(const SlotTable& aWanted);
   Duration ReadInterval() const;
   // Whether this daemon has less than half of an even share of the slots.
@@ -199,6 +204,9 @@
   // Returned slots whose write may still take effect, with the version that the write
   // expects.
   std::map<std::uint32_t, std::uint64_t> mHandedBack;
+  // Until this time only the slots in mKept are used; see kLostTableWait.
+  TimePoint mKeptUntil{};
+  std::set<std::uint32_t> mKept;
   std::vector<SlotHolder> mRunningDaemons;
   bool mAddsRunningDaemons = false;
   std::map<std::string, TimePoint> mAbsentSince;
--- a/src/core/Shares.cpp
+++ b/src/core/Shares.cpp
@@ -1,6 +1,7 @@
 #include "sesameway/Shares.h"
 
 #include "sesameway/LinkedPeers.h"
+#include "sesameway/StoreRevision.h"
 
 #include <toml++/toml.h>
 #include <xxhash.h>
@@ -505,6 +506,9 @@
   if (mHasTable && aVersion < mVersion) {
     return;
   }
+  if (mHasTable && GenerationOf(aVersion) > GenerationOf(mVersion)) {
+    OnTableLost(aNow);
+  }
   mIsSettled = mIsSettled && aVersion == mVersion;
   mHasTable = true;
   mWantsRead = false;
@@ -518,7 +522,8 @@
   if (isMine) {
     mIsRegistered = true;
     for (auto slot : mine->second.mSlots) {
-      if (mHandedBack.count(slot) == 0) {
+      bool isAllowed = aNow >= mKeptUntil || mKept.count(slot) != 0;
+      if (mHandedBack.count(slot) == 0 && isAllowed) {
         mUsable.push_back(slot);
       }
     }
@@ -546,6 +551,18 @@
   }
 }
 
+// The table in the store is older than the one that this daemon has seen. Its own entry
+// may be missing, or be that of its previous incarnation.
+void SlotAllocator::OnTableLost(TimePoint aNow)
+{
+  mKept = std::set<std::uint32_t>(mUsable.begin(), mUsable.end());
+  mKeptUntil = aNow + kLostTableWait;
+  mIsRegistered = false;
+  // Slots of the previous incarnation may have gone to others since.
+  mPreviousEnd = TimePoint::max();
+  mWritten.reset();
+}
+
 void SlotAllocator::SetRunningDaemons(std::vector<SlotHolder> aDaemons)
 {
   mRunningDaemons = std::move(aDaemons);
--- a/test/core/SharesTest.cpp
+++ b/test/core/SharesTest.cpp
@@ -1,4 +1,5 @@
 #include "sesameway/Shares.h"
+#include "sesameway/StoreRevision.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -15,6 +16,10 @@
   CPPUNIT_TEST(NewIncarnationTakesOverAndTheOldOneStops);
   CPPUNIT_TEST(AfterARestartFormerFloorSlotsAreUsedAtOnce);
   CPPUNIT_TEST(TableSurvivesFormattingAndParsing);
+  CPPUNIT_TEST(SlotsOfAnOlderCopyOfTheTableAreNotUsedAtOnce);
+  CPPUNIT_TEST(TheFirstTableOfAStoreIsNotTakenForAnOlderOne);
+  CPPUNIT_TEST(ATableThatTheStoreHasLostIsWrittenAgain);
+  CPPUNIT_TEST(ADaemonWhoseEntryIsLostRegistersAgain);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr TimePoint kStart{ seconds(1000) };
@@ -120,6 +125,65 @@
     CPPUNIT_ASSERT(!ParseSlotTable("[[holder]]\nname=\"a\"\nslots=[1,1]\n"));
     CPPUNIT_ASSERT(!ParseSlotTable("[[holder]]\nname=\"a\"\nslots=[2048]\n"));
   }
+
+  // Guards against a rate limit that is exceeded: the store has lost the change by
+  // which another daemon received the slots, and that daemon still uses them.
+  void SlotsOfAnOlderCopyOfTheTableAreNotUsedAtOnce()
+  {
+    SlotAllocator allocator("a", "z", 1);
+    allocator.Next(kStart);
+    auto table = AllOf("a", 1);
+    auto& slots = table.mHolders["a"].mSlots;
+    auto half = slots;
+    slots.resize(kSlots / 2);
+    allocator.OnTable(table, 5, kStart, kStart);
+    auto now = kStart + seconds(10);
+    slots = half;
+    allocator.OnTable(table, MakeRevision(1, 4), now, now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ kSlots / 2 }, allocator.Held().mSlots.size());
+    now += kLostTableWait;
+    allocator.OnTable(table, MakeRevision(1, 4), now, now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ kSlots }, allocator.Held().mSlots.size());
+  }
+
+  // Guards against a fleet that has no rate limit to use for a while after its first
+  // start.
+  void TheFirstTableOfAStoreIsNotTakenForAnOlderOne()
+  {
+    SlotAllocator allocator("a", "z", 1);
+    allocator.Next(kStart);
+    allocator.OnTable({}, MakeRevision(1, 0), kStart, kStart);
+    allocator.OnTable(AllOf("a", 1), MakeRevision(1, 2), kStart, kStart);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ kSlots }, allocator.Held().mSlots.size());
+  }
+
+  // Guards against slots that nobody gets any more: the store has lost the whole table.
+  void ATableThatTheStoreHasLostIsWrittenAgain()
+  {
+    SlotAllocator allocator("a", "z", 1);
+    allocator.Next(kStart);
+    allocator.OnTable(AllOf("a", 1), 5, kStart, kStart);
+    auto now = kStart + seconds(20);
+    CPPUNIT_ASSERT(std::holds_alternative<ReadTable>(allocator.Next(now)));
+    allocator.OnTable({}, MakeRevision(1, 0), now, now);
+    auto step = allocator.Next(now);
+    auto* write = std::get_if<WriteTable>(&step);
+    CPPUNIT_ASSERT(write != nullptr);
+    CPPUNIT_ASSERT_EQUAL(MakeRevision(1, 0), write->mExpectedVersion);
+  }
+
+  // Guards against a daemon that takes its own previous incarnation, in an older copy
+  // of the table, for its successor and gives its slots up for good.
+  void ADaemonWhoseEntryIsLostRegistersAgain()
+  {
+    SlotAllocator allocator("a", "z", 2);
+    allocator.Next(kStart);
+    allocator.OnTable(AllOf("a", 2), 5, kStart, kStart);
+    allocator.OnTable(AllOf("a", 1), MakeRevision(1, 4), kStart, kStart);
+    CPPUNIT_ASSERT(!allocator.IsReplaced());
+    auto step = allocator.Next(kStart + seconds(3));
+    CPPUNIT_ASSERT(!std::holds_alternative<PauseUntil>(step));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SharesTest);
