Entries of databases that were written earlier than the known one are ignored

A store that has returned with an older copy shows the entry of a database as it was some seconds ago: one that has reported that it is leaving would be given new work until it writes again. The entry's count and start time tell which is older.

EntryThatADatabaseWroteEarlierIsIgnored fails without the comparison; an entry without a start time is taken as before, as its count can't be compared after a restart.

--- a/include/sesameway/DatabaseList.h
+++ b/include/sesameway/DatabaseList.h
@@ -41,6 +41,8 @@
   DatabaseRole mRole = DatabaseRole::Unknown;
   // Start time in milliseconds since 1970; tells restarts under the same name apart.
   std::uint64_t mStartedAtMs = 0;
+  // Number of entries that the database has written since its start.
+  std::uint64_t mSequence = 0;
   bool operator==(const ListedDatabase&) const = default;
 };
 
@@ -50,7 +52,9 @@
 class DatabaseList
 {
 public:
-  // Returns true if the entry is new or has changed.
+  // Returns true if the entry is new or has changed. An entry that the database wrote
+  // before the known one is ignored: a store that has returned with an older copy shows
+  // it until the database writes again.
   bool Put(const ListedDatabase& aDatabase);
   void Remove(const std::string& aName, TimePoint aNow);
   // Removes the databases whose entry has been gone for kMissingEntryGrace. Returns
--- a/src/core/DatabaseList.cpp
+++ b/src/core/DatabaseList.cpp
@@ -8,7 +8,11 @@
 {
   auto& entry = mEntries[aDatabase.mName];
   entry.mExpiresAt.reset();
-  if (entry.mDatabase == aDatabase) {
+  const auto& known = entry.mDatabase;
+  bool isSameStart =
+    aDatabase.mStartedAtMs != 0 && aDatabase.mStartedAtMs == known.mStartedAtMs;
+  bool isOlder = isSameStart && aDatabase.mSequence < known.mSequence;
+  if (isOlder || known == aDatabase) {
     return false;
   }
   entry.mDatabase = aDatabase;
--- a/test/core/ObjectTableTest.cpp
+++ b/test/core/ObjectTableTest.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(PeersThatKnowTheObjectLearnOfItsRemoval);
   CPPUNIT_TEST(APeerGetsOnlyWhatItLacksOfEachKind);
   CPPUNIT_TEST(TwoCopiesConvergeInAnyOrderOfChanges);
+  CPPUNIT_TEST(EntryThatADatabaseWroteEarlierIsIgnored);
   CPPUNIT_TEST_SUITE_END();
 
   static StoredObject At(const std::string& aName,
@@ -25,6 +26,28 @@
     return { aName, aRevision, aRevision, std::to_string(aRevision), aIsDeleted };
   }
 
+  // Guards against a database that has reported that it is leaving, and is used again
+  // when the store returns with an older copy.
+  void EntryThatADatabaseWroteEarlierIsIgnored()
+  {
+    DatabaseList list;
+    ListedDatabase database;
+    database.mName = "a";
+    database.mStartedAtMs = 1000;
+    database.mSequence = 5;
+    database.mIsLeaving = true;
+    CPPUNIT_ASSERT(list.Put(database));
+    auto older = database;
+    older.mSequence = 4;
+    older.mIsLeaving = false;
+    CPPUNIT_ASSERT(!list.Put(older));
+    CPPUNIT_ASSERT(list.Find("a")->mIsLeaving);
+    // After a restart the count begins again.
+    older.mStartedAtMs = 2000;
+    CPPUNIT_ASSERT(list.Put(older));
+    CPPUNIT_ASSERT(!list.Find("a")->mIsLeaving);
+  }
+
   void NeverRevertsToAnOlderRevision()
   {
     ObjectTable table;
