A store that turns some daemons away is not asked by the whole region

Cause, by a simulated region of 295 daemons (StoreWatchersTest, Region): a parent that the store turns away still answers, with old information. The children of such a parent stayed without contact for the whole time.

Change: an answer with old contact counts as none, and the one that helped instead is kept for 5 s. The zones take turns in the order, so that a zone that is cut off does not hold up the other. While the store does not answer, one kind is asked for, not all three.

FewWatchWhileTheStoreTurnsAThirdOfTheDaemonsAway and FewWatchWhileTheStoreIsOutForAll failed before. AnotherPeerIsAskedAfterAFailure asked for the parent at once after an answer of another; that made children of a silent parent ask it every second time. It now asks for the other one first, the parent after 5 s, and the old answer.

--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -70,7 +70,7 @@
         { mAdapters.mDatabaseKind, kOtherKindPollTimeout } })
   , mFleet(aLoop, *mAdapters.mDatabases, mSettings, mAdapters.mReadStatus)
   , mRegistration(mSelf.mName, mSelf.mAddress)
-  , mWatchers(mSelf.mName)
+  , mWatchers({ mSelf.mName, mSelf.mZone })
   , mTick(aLoop)
   , mLinkedPeers(mSelf.mName)
   , mPullSchedule(mSelf.mName, mStartedAt)
--- a/src/proxy/ProxyStore.cpp
+++ b/src/proxy/ProxyStore.cpp
@@ -171,11 +171,11 @@
   auto members = Records();
   std::erase_if(members, [](const auto& aIt) { return aIt.mIsMissing; });
   std::vector<std::string> zones;
-  std::vector<std::string> near;
+  std::vector<NearDaemon> near;
   for (const auto& it : members) {
     zones.push_back(it.mZone);
     if (IsOwnRegion(it.mZone)) {
-      near.push_back(it.mName);
+      near.push_back({ it.mName, it.mZone });
     }
   }
   LOG(INFO) << daemon::LogLine("members")
@@ -308,7 +308,8 @@
     }
   }
   mPulls.Pull(address, [this](bool aHasAnswered) {
-    aHasAnswered ? mWatchers.OnAnswer() : mWatchers.OnNoAnswer();
+    aHasAnswered ? mWatchers.OnAnswer(mSync.Contact(), Clock::now())
+                 : mWatchers.OnNoAnswer();
   });
 }
 
--- a/src/proxy/StoreSync.cpp
+++ b/src/proxy/StoreSync.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace sesameway::proxy {
 
@@ -77,11 +78,9 @@
 void StoreSync::SetFollowing(bool aIsFollowing)
 {
   mIsFollowing = aIsFollowing;
-  if (!aIsFollowing) {
-    return;
-  }
   for (auto& it : mStates) {
-    if (!it->mIsActive) {
+    it->mWaitsForStore &= aIsFollowing;
+    if (aIsFollowing && !it->mIsActive && !it->mWaitsForStore) {
       Follow(*it);
     }
   }
@@ -211,6 +210,12 @@
     mIsStoreUnreachable = true;
     LOG(WARNING) << daemon::LogLine("store_lost").With("kind", aState.mKind.mName);
   }
+  // One kind is enough to learn whether the store answers again.
+  if (aState.mIsListed && aState.mKind.mName != kOwnKind) {
+    aState.mIsActive = false;
+    aState.mWaitsForStore = true;
+    return;
+  }
   auto pause = ExponentialBackoff(kRetryFloor, aState.mFailures++, kRetryLimit);
   aState.mRetry->Set(Clock::now() + pause, [this, &aState] {
     aState.mIsListed ? Follow(aState) : List(aState);
@@ -228,8 +233,14 @@
   aState.mFailures = 0;
   aState.mRevision = std::max(aState.mRevision, aRevision);
   CheckInitialSync();
-  if (aState.mKind.mName == kOwnKind) {
-    NoteContact(aSentAt);
+  if (aState.mKind.mName != kOwnKind) {
+    return;
+  }
+  NoteContact(aSentAt);
+  for (auto& it : mStates) {
+    if (std::exchange(it->mWaitsForStore, false)) {
+      Follow(*it);
+    }
   }
 }
 
--- a/src/proxy/StoreSync.h
+++ b/src/proxy/StoreSync.h
@@ -82,6 +82,8 @@
     bool mIsListed = false;
     // Whether a call is in progress or scheduled by the retry timer.
     bool mIsActive = false;
+    // Whether the kind is followed again once a call for kOwnKind has been answered.
+    bool mWaitsForStore = false;
     int mFailures = 0;
     std::unique_ptr<Timer> mRetry;
   };
--- a/test/core/StoreWatchersTest.cpp
+++ b/test/core/StoreWatchersTest.cpp
@@ -21,14 +21,17 @@
   CPPUNIT_TEST(ChangesReachAllDaemonsOfALargeRegionInTime);
   CPPUNIT_TEST(TheChildrenOfALostDaemonAskDifferentOnes);
   CPPUNIT_TEST(TheLossOfTheFirstDaemonMakesFewOthersWatch);
+  CPPUNIT_TEST(FewWatchWhileTheStoreTurnsAThirdOfTheDaemonsAway);
+  CPPUNIT_TEST(FewWatchWhileTheStoreIsOutForAll);
+  CPPUNIT_TEST(AnotherZoneTakesOverWhileOneIsCutOff);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr TimePoint kStart{ seconds(1000) };
 
   static StoreWatchers At(int aNumber)
   {
-    StoreWatchers watchers("d" + std::to_string(aNumber));
-    watchers.SetDaemons({ "d3", "d1", "d2", "d0" });
+    StoreWatchers watchers({ "d" + std::to_string(aNumber), "z" });
+    watchers.SetDaemons({ { "d3", "z" }, { "d1", "z" }, { "d2", "z" }, { "d0", "z" } });
     return watchers;
   }
 
@@ -64,8 +67,14 @@
     CPPUNIT_ASSERT_EQUAL(std::string("d0"), third.PeerToAsk());
     third.OnNoAnswer();
     CPPUNIT_ASSERT_EQUAL(std::string("d1"), third.PeerToAsk());
-    third.OnAnswer();
+    // The peer that helped is asked for a while; then the parent is asked again.
+    third.OnAnswer(kStart, kStart);
+    CPPUNIT_ASSERT_EQUAL(std::string("d1"), third.PeerToAsk());
+    third.OnAnswer(kStart + seconds(5), kStart + seconds(5));
     CPPUNIT_ASSERT_EQUAL(std::string("d0"), third.PeerToAsk());
+    // An old answer counts as none.
+    third.OnAnswer(kStart + seconds(5), kStart + seconds(8));
+    CPPUNIT_ASSERT_EQUAL(std::string("d1"), third.PeerToAsk());
   }
 
   // Half of a fleet of 590 daemons in two regions.
@@ -80,12 +89,22 @@
     return names;
   }
 
+  // The daemons of a region with one zone.
+  static std::vector<NearDaemon> Near(const std::vector<std::string>& aNames)
+  {
+    std::vector<NearDaemon> daemons;
+    for (const auto& it : aNames) {
+      daemons.push_back({ it, "z" });
+    }
+    return daemons;
+  }
+
   static std::vector<StoreWatchers> WatchersOf(const std::vector<std::string>& aNames)
   {
     std::vector<StoreWatchers> watchers;
     for (const auto& it : aNames) {
-      watchers.emplace_back(it);
-      watchers.back().SetDaemons(aNames);
+      watchers.emplace_back(NearDaemon{ it, "z" });
+      watchers.back().SetDaemons(Near(aNames));
     }
     return watchers;
   }
@@ -161,9 +180,128 @@
     CPPUNIT_ASSERT(watching <= static_cast<int>(kMaxAskingDaemons));
   }
 
+  // A region whose daemons ask the store and each other. The store answers a watch
+  // within 700 ms, and turns some daemons away.
+  struct Region
+  {
+    struct Daemon
+    {
+      StoreWatchers mWatchers;
+      TimePoint mContact = kStart;
+      bool mIsTurnedAway = false;
+      bool mIsWatching = false;
+      TimePoint mNextCall{};
+      TimePoint mNextPull{};
+    };
+
+    explicit Region(const std::vector<NearDaemon>& aDaemons)
+    {
+      for (std::size_t n = 0; n < aDaemons.size(); ++n) {
+        Daemon daemon{ StoreWatchers(aDaemons[n]) };
+        daemon.mWatchers.SetDaemons(aDaemons);
+        daemon.mNextPull = kStart + milliseconds(37 * n % 350);
+        mDaemons.emplace(aDaemons[n].mName, std::move(daemon));
+      }
+    }
+
+    void Run(Duration aTime)
+    {
+      for (auto until = mNow + aTime; mNow < until; mNow += milliseconds(50)) {
+        for (auto& it : mDaemons) {
+          Step(it.second);
+        }
+      }
+    }
+
+    void Step(Daemon& aDaemon)
+    {
+      aDaemon.mIsWatching = aDaemon.mWatchers.MustWatch(aDaemon.mContact, mNow);
+      if (aDaemon.mIsWatching && mNow >= aDaemon.mNextCall) {
+        ++mCalls;
+        // A call that is answered counts from when it was sent.
+        aDaemon.mContact =
+          aDaemon.mIsTurnedAway ? aDaemon.mContact : mNow - milliseconds(700);
+        aDaemon.mNextCall = mNow + milliseconds(700);
+      }
+      auto peer = mDaemons.find(aDaemon.mWatchers.PeerToAsk());
+      if (peer != mDaemons.end() && mNow >= aDaemon.mNextPull) {
+        aDaemon.mNextPull = mNow + milliseconds(350);
+        aDaemon.mContact = std::max(aDaemon.mContact, peer->second.mContact);
+        aDaemon.mWatchers.OnAnswer(peer->second.mContact, mNow);
+      }
+      // The first daemon has nobody to ask; it asks peers by PeerPullSchedule.
+      if (peer != mDaemons.end()) {
+        mOldest = std::max(mOldest, mNow - aDaemon.mContact);
+      }
+    }
+
+    std::map<std::string, Daemon> mDaemons;
+    TimePoint mNow = kStart;
+    int mCalls = 0;
+    Duration mOldest{};
+  };
+
+  // Guards against a fleet that turns to the store as a whole, and works several times
+  // as much, because the store is busy for some of the daemons.
+  void FewWatchWhileTheStoreTurnsAThirdOfTheDaemonsAway()
+  {
+    for (int first : { 0, 1, 2 }) {
+      Region region(Near(LargeRegion()));
+      region.Run(seconds(5));
+      int n = first;
+      for (auto& it : region.mDaemons) {
+        it.second.mIsTurnedAway = n++ % 3 == 0;
+      }
+      region.mCalls = 0;
+      region.mOldest = Duration::zero();
+      region.Run(seconds(10));
+      CPPUNIT_ASSERT(region.mOldest < seconds(3));
+      // Ten seconds of the watches of as many daemons as ask one.
+      CPPUNIT_ASSERT(region.mCalls <= static_cast<int>(kMaxAskingDaemons) * 15);
+    }
+  }
+
+  void FewWatchWhileTheStoreIsOutForAll()
+  {
+    Region region(Near(LargeRegion()));
+    region.Run(seconds(5));
+    for (auto& it : region.mDaemons) {
+      it.second.mIsTurnedAway = true;
+    }
+    region.mCalls = 0;
+    region.Run(seconds(20));
+    CPPUNIT_ASSERT(region.mCalls <= static_cast<int>(kMaxAskingDaemons) * 30);
+    for (auto& it : region.mDaemons) {
+      it.second.mIsTurnedAway = false;
+    }
+    region.Run(seconds(2));
+    region.mOldest = Duration::zero();
+    region.Run(seconds(5));
+    CPPUNIT_ASSERT(region.mOldest < seconds(3));
+  }
+
+  // The daemons of the zone that is cut off precede the others by name.
+  void AnotherZoneTakesOverWhileOneIsCutOff()
+  {
+    std::vector<NearDaemon> daemons;
+    for (const auto& it : LargeRegion()) {
+      daemons.push_back({ it, daemons.size() < kLargeRegion / 2 ? "a" : "b" });
+    }
+    Region region(daemons);
+    region.Run(seconds(5));
+    for (int n = 0; n < kLargeRegion / 2; ++n) {
+      region.mDaemons.at(daemons[n].mName).mIsTurnedAway = true;
+    }
+    region.mCalls = 0;
+    region.mOldest = Duration::zero();
+    region.Run(seconds(10));
+    CPPUNIT_ASSERT(region.mOldest < seconds(3));
+    CPPUNIT_ASSERT(region.mCalls <= static_cast<int>(kMaxAskingDaemons) * 15);
+  }
+
   void ADaemonWithoutPeersWatchesTheStore()
   {
-    StoreWatchers watchers("d0");
+    StoreWatchers watchers({ "d0", "z" });
     CPPUNIT_ASSERT(watchers.MustWatch(kStart, kStart));
     CPPUNIT_ASSERT(watchers.PeerToAsk().empty());
   }
