Tests of a daemon whose store returns with an older copy

AnOlderConfigurationIsNotTaken and TheRecordOfAGroupThatTheStoreLostIsWrittenBack run a whole daemon against a fake store.

--- /dev/null
+++ b/test/proxy/ProxyDaemon.h
@@ -0,0 +1,283 @@
+#pragma once
+
+#include "FakeDatabases.h"
+#include "peer/CapnpPeers.h"
+#include "proxy/Proxy.h"
+#include "sesameway/StoreRevision.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <future>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace sesameway::test {
+
+using proxy::Loop;
+using proxy::PromotionClient;
+using proxy::Proxy;
+using proxy::Settings;
+using proxy::Timer;
+
+constexpr const char* kConfiguration = "config/main";
+constexpr const char* kDatabaseKind = "servers";
+
+// The store as one daemon sees it. While it is cut off, every call fails.
+class FakeStore
+  : public platform::Platform
+  , public platform::ChangeFeed
+{
+public:
+  explicit FakeStore(Loop& aLoop, bool aIsCutOff)
+    : mLoop(aLoop)
+    , mIsCutOff(aIsCutOff)
+  {
+  }
+
+  // Call it on the loop's thread.
+  void Write(platform::Object aObject)
+  {
+    mRevision = aObject.mRevision;
+    mObjects.push_back(std::move(aObject));
+  }
+  // The store returns with these objects, in their generation. Call it on the loop's
+  // thread.
+  void Restore(std::vector<platform::Object> aObjects)
+  {
+    mObjects.clear();
+    for (auto& it : aObjects) {
+      Write(std::move(it));
+    }
+  }
+  // Bodies of the objects that were to be written, by name. Call it on the loop's
+  // thread.
+  const std::map<std::string, std::string>& Puts() const { return mPuts; }
+
+  void ListKind(const std::string& aKind,
+                TimePoint,
+                std::function<void(std::optional<platform::Listing>)> aDone) override
+  {
+    Answer(milliseconds(20), [this, aKind, aDone] {
+      mIsCutOff ? aDone(std::nullopt)
+                : aDone(platform::Listing{ Newer(aKind, 0), mRevision });
+    });
+  }
+  void ChangesAfter(
+    const std::string& aKind,
+    std::uint64_t aRevision,
+    TimePoint,
+    std::function<void(std::optional<platform::Changes>)> aDone) override
+  {
+    Answer(milliseconds(100), [this, aKind, aRevision, aDone] {
+      mIsCutOff ? aDone(std::nullopt)
+                : aDone(platform::Changes{ Newer(aKind, aRevision), mRevision, false });
+    });
+  }
+
+  void List(const std::string&,
+            TimePoint,
+            std::function<void(std::optional<platform::Listing>)> aDone) override
+  {
+    aDone(std::nullopt);
+  }
+  void Get(const std::string&,
+           TimePoint,
+           std::function<void(std::optional<platform::Object>)> aDone) override
+  {
+    aDone(std::nullopt);
+  }
+  // Calls come from the loop's thread, except for the table of slots.
+  void Put(const std::string& aName,
+           const std::string& aBody,
+           std::uint64_t,
+           bool,
+           TimePoint,
+           std::function<void(std::optional<platform::PutResult>)> aDone) override
+  {
+    if (aName != kShareObject) {
+      mPuts[aName] = aBody;
+    }
+    aDone(std::nullopt);
+  }
+  std::shared_ptr<void> Watch(
+    const std::string&,
+    std::uint64_t,
+    std::function<void(std::optional<platform::Object>)>) override
+  {
+    return nullptr;
+  }
+  void Vms(TimePoint,
+           std::function<void(std::optional<std::vector<platform::Vm>>)> aDone) override
+  {
+    aDone(std::nullopt);
+  }
+
+private:
+  std::vector<platform::Object> Newer(const std::string& aKind,
+                                      std::uint64_t aRevision) const
+  {
+    std::vector<platform::Object> objects;
+    for (const auto& it : mObjects) {
+      if (KindOf(it.mName) == aKind && it.mRevision > aRevision) {
+        objects.push_back(it);
+      }
+    }
+    return objects;
+  }
+  void Answer(Duration aAfter, std::function<void()> aTask)
+  {
+    auto timer = std::make_shared<Timer>(mLoop);
+    timer->Set(Clock::now() + aAfter, [timer, task = std::move(aTask)] { task(); });
+  }
+
+  Loop& mLoop;
+  bool mIsCutOff;
+  std::uint64_t mRevision = 1;
+  std::vector<platform::Object> mObjects;
+  std::map<std::string, std::string> mPuts;
+};
+
+class NoPromotion : public PromotionClient
+{
+public:
+  void Promote(const std::string&,
+               const std::string&,
+               const std::string&,
+               std::uint64_t,
+               TimePoint,
+               std::function<void(std::optional<bool>)> aDone) override
+  {
+    aDone(std::nullopt);
+  }
+};
+
+// A daemon in this process, with its own fake store. It is never destroyed, because its
+// worker threads refer to it until the process ends.
+class ProxyDaemon
+{
+public:
+  ProxyDaemon(const std::string& aName,
+              const std::string& aAddress,
+              std::vector<std::string> aSeeds,
+              bool aIsCutOff)
+    : mStore(std::make_shared<FakeStore>(mLoop, aIsCutOff))
+  {
+    Settings settings;
+    settings.mName = aName;
+    settings.mZone = "z";
+    settings.mRegions["z"] = "r";
+    settings.mPeerAddress = aAddress;
+    settings.mSeedPeerAddresses = std::move(aSeeds);
+    Proxy::Adapters adapters;
+    adapters.mStore = mStore;
+    adapters.mFeed = mStore.get();
+    adapters.mDatabases = &mDatabases;
+    adapters.mPromotionClient = &mPromotion;
+    adapters.mConfigurationObject = kConfiguration;
+    adapters.mDatabaseKind = kDatabaseKind;
+    adapters.mReadConfiguration =
+      [this](const StoredObject& aObject) -> tl::expected<Catalogue, std::string> {
+      Catalogue catalogue;
+      catalogue.mVersion = RevisionInStore(aObject.mVersion);
+      mConfiguration = aObject.mBody;
+      return catalogue;
+    };
+    adapters.mReadDatabase = [](const StoredObject&) {
+      return tl::expected<ListedDatabase, std::string>(tl::make_unexpected("none"));
+    };
+    adapters.mReadStatus = [](const std::string&) { return std::nullopt; };
+    mProxy = std::make_unique<Proxy>(mLoop, settings, adapters, 1);
+    mPeers = peer::CapnpPeers::Start(aAddress, mProxy.get());
+    mProxy->Start(mPeers.get());
+  }
+
+  void Run()
+  {
+    mThread = std::thread([this] { mLoop.Run(); });
+  }
+  void Stop()
+  {
+    mLoop.Stop();
+    mThread.join();
+  }
+  void Write(platform::Object aObject)
+  {
+    mLoop.Post([this, object = std::move(aObject)] { mStore->Write(object); });
+  }
+  void Restore(std::vector<platform::Object> aObjects)
+  {
+    mLoop.Post([this, objects = std::move(aObjects)] { mStore->Restore(objects); });
+  }
+  // Version of the configuration in force; 0 if there is none.
+  std::uint64_t VersionInForce()
+  {
+    return OnLoop<std::uint64_t>([this] {
+      auto catalogue = mProxy->Current();
+      return catalogue ? catalogue->mVersion : 0;
+    });
+  }
+  // What the daemon wanted to write to the object last; empty if nothing.
+  std::string Put(const std::string& aName)
+  {
+    return OnLoop<std::string>([&] {
+      auto put = mStore->Puts().find(aName);
+      return put == mStore->Puts().end() ? std::string() : put->second;
+    });
+  }
+  // Waits until the configuration is in force. Returns false if it is not by the
+  // deadline.
+  bool Receives(const std::string& aConfiguration, TimePoint aDeadline)
+  {
+    while (Clock::now() < aDeadline) {
+      if (OnLoop<bool>([&] { return mConfiguration == aConfiguration; })) {
+        return true;
+      }
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+    return false;
+  }
+  // Age of this daemon's information about the store, in seconds.
+  double ContactAge()
+  {
+    return OnLoop<double>([this] {
+      for (const auto& it : mProxy->Gauges()) {
+        if (it.mName == "store.contact_age_s") {
+          return it.mValue;
+        }
+      }
+      return -1.0;
+    });
+  }
+
+private:
+  template<typename Value>
+  Value OnLoop(std::function<Value()> aFunction)
+  {
+    std::promise<Value> value;
+    mLoop.Post([&] { value.set_value(aFunction()); });
+    return value.get_future().get();
+  }
+
+  Loop mLoop;
+  std::shared_ptr<FakeStore> mStore;
+  FakeDatabases mDatabases;
+  NoPromotion mPromotion;
+  std::string mConfiguration;
+  std::unique_ptr<Proxy> mProxy;
+  std::unique_ptr<peer::CapnpPeers> mPeers;
+  std::thread mThread;
+};
+
+inline std::string FreeAddress()
+{
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::acceptor acceptor(
+    io, { boost::asio::ip::address_v4::loopback(), 0 });
+  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+} // namespace sesameway::test
--- /dev/null
+++ b/test/proxy/StoreRestoreTest.cpp
@@ -0,0 +1,71 @@
+#include "ProxyDaemon.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace sesameway;
+using namespace sesameway::test;
+
+// Covers a daemon whose store returns with an older copy of itself.
+class StoreRestoreTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(StoreRestoreTest);
+  CPPUNIT_TEST(AnOlderConfigurationIsNotTaken);
+  CPPUNIT_TEST(TheRecordOfAGroupThatTheStoreLostIsWrittenBack);
+  CPPUNIT_TEST_SUITE_END();
+
+  static platform::Object Configuration(std::uint64_t aVersion, std::uint64_t aRevision)
+  {
+    return { kConfiguration, aVersion, aRevision, std::to_string(aVersion), false };
+  }
+
+  static platform::Object Group(std::uint64_t aChange, std::uint64_t aRevision)
+  {
+    GroupRecord record{ "g", GroupPhase::Serving, aChange, aChange, "i-1", "" };
+    return {
+      "sesameway/group.g", aRevision, aRevision, FormatGroupRecord(record), false
+    };
+  }
+
+  static bool IsSoon(const std::function<bool()>& aCondition)
+  {
+    auto deadline = Clock::now() + seconds(10);
+    while (!aCondition() && Clock::now() < deadline) {
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+    return aCondition();
+  }
+
+  // Guards against a withdrawn key or a removed route that is in use again until the
+  // operator has written the configuration anew.
+  void AnOlderConfigurationIsNotTaken()
+  {
+    auto* daemon = new ProxyDaemon("a", FreeAddress(), {}, false);
+    daemon->Write(Configuration(7, 9));
+    daemon->Run();
+    CPPUNIT_ASSERT(IsSoon([&] { return daemon->VersionInForce() == 7; }));
+    daemon->Restore({ Configuration(5, MakeRevision(1, 6)) });
+    CPPUNIT_ASSERT(daemon->Receives("5", Clock::now() + seconds(5)));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 7 }, daemon->VersionInForce());
+    daemon->Write(Configuration(8, MakeRevision(1, 8)));
+    CPPUNIT_ASSERT(IsSoon([&] { return daemon->VersionInForce() == 8; }));
+    daemon->Stop();
+  }
+
+  // Guards against a coordinator that starts after the store's return, and does not
+  // know of the last change of primary.
+  void TheRecordOfAGroupThatTheStoreLostIsWrittenBack()
+  {
+    auto* daemon = new ProxyDaemon("a", FreeAddress(), {}, false);
+    daemon->Write(Configuration(7, 5));
+    daemon->Write(Group(2, 9));
+    daemon->Run();
+    CPPUNIT_ASSERT(IsSoon([&] { return daemon->VersionInForce() == 7; }));
+    daemon->Restore(
+      { Configuration(7, MakeRevision(1, 5)), Group(1, MakeRevision(1, 6)) });
+    CPPUNIT_ASSERT(
+      IsSoon([&] { return daemon->Put("sesameway/group.g") == Group(2, 9).mBody; }));
+    daemon->Stop();
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreRestoreTest);
