--- a/include/sesameway/ObjectTransfer.h
+++ b/include/sesameway/ObjectTransfer.h
@@ -16,8 +16,8 @@
 namespace sesameway {
 
 // Size of an answer to a peer that asks for changes, in bytes of objects. It bounds how
-// long an answer keeps a slow link busy, also for the callers of other answers. Objects
-// with a larger body are sent compressed and in pieces of this size.
+// long other calls wait for this answer on a slow link. Objects with a larger body are
+// sent compressed and in pieces of this size.
 inline constexpr std::size_t kMaxAnswerBytes = 16'384;
 
 // Identifies the compressed form of one version of an object.
