While no peer helps, the parent is asked every second time

Read in the change before: in an outage of the store every answer is old, so daemons would ask others at random and the positions of primaries, which come with the answers along the tree, would reach them late; reads with an age then fall on the primaries. TheParentIsAskedEverySecondTimeWhileNoOneHelps failed on that code (1 of 10).

--- a/src/core/StoreWatchers.cpp
+++ b/src/core/StoreWatchers.cpp
@@ -139,7 +139,9 @@
 }
 
 // After a failure the children of one parent ask different daemons, so that they do not
-// all become the children of the next one.
+// all become the children of the next one. While no one helps, the parent is asked
+// every second time: what the daemons tell each other beside the store's changes
+// spreads best along the tree.
 std::string StoreWatchers::PeerToAsk() const
 {
   auto self = mPreceding.size();
@@ -147,11 +149,11 @@
     return {};
   }
   auto parent = ParentOf(self);
-  if (mFailures == 0 || self == 1) {
+  if (mFailures % 2 == 0 || self == 1) {
     return mPreceding[parent];
   }
   auto sibling = (self - 1) % kMaxAskingDaemons;
-  auto other = (sibling + mFailures - 1) % (self - 1);
+  auto other = (sibling + mFailures / 2) % (self - 1);
   return mPreceding[other < parent ? other : other + 1];
 }
 
--- a/test/core/StoreWatchersTest.cpp
+++ b/test/core/StoreWatchersTest.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(FewWatchWhileTheStoreTurnsAThirdOfTheDaemonsAway);
   CPPUNIT_TEST(FewWatchWhileTheStoreIsOutForAll);
   CPPUNIT_TEST(AnotherZoneTakesOverWhileOneIsCutOff);
+  CPPUNIT_TEST(TheParentIsAskedEverySecondTimeWhileNoOneHelps);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr TimePoint kStart{ seconds(1000) };
@@ -280,6 +281,20 @@
     CPPUNIT_ASSERT(region.mOldest < seconds(3));
   }
 
+  // Guards against positions of primaries that reach a daemon late while the store is
+  // out: they spread along the tree.
+  void TheParentIsAskedEverySecondTimeWhileNoOneHelps()
+  {
+    auto third = At(2);
+    auto now = kStart + seconds(10);
+    int parent = 0;
+    for (int n = 0; n < 10; ++n) {
+      parent += third.PeerToAsk() == "d0" ? 1 : 0;
+      third.OnAnswer(kStart, now);
+    }
+    CPPUNIT_ASSERT_EQUAL(5, parent);
+  }
+
   // The daemons of the zone that is cut off precede the others by name.
   void AnotherZoneTakesOverWhileOneIsCutOff()
   {
