Read the revision of an answer to a peer before its objects again

Found on reading: the change that sends objects in pieces moved the read of the whole revision behind that of the objects. A change that is applied between the two, on the other thread, would be covered by the revision and missing from the answer. Only peers of a former version that name no kinds use that revision; those that name kinds got theirs first, and pieces are chosen under one lock.

Change: the order that stood before, with its comment. There is no test, as the two reads are some microseconds apart on two threads; no run has shown the fault.

--- a/src/proxy/ProxyPeers.cpp
+++ b/src/proxy/ProxyPeers.cpp
@@ -101,8 +101,10 @@
 peer::CatalogueDelta Proxy::OnCatalogue(const peer::CatalogueQuery& aQuery)
 {
   peer::CatalogueDelta delta;
-  // The contact is read before the objects, so that the objects are at least as recent.
+  // Contact and revisions are read before the objects, so that the objects are at least
+  // as recent as all of them.
   auto contact = mSync.Contact();
+  delta.mRevision = mSync.Revision();
   ChangeBatch batch;
   if (aQuery.mTakesPieces) {
     batch = mSync.NextChanges({ aQuery.mKindRevisions, aQuery.mReceived });
@@ -112,7 +114,6 @@
                        ? mSync.ChangesSince(aQuery.mRevision)
                        : mSync.ChangesSince(aQuery.mKindRevisions);
   }
-  delta.mRevision = mSync.Revision();
   delta.mKindRevisions = std::move(batch.mRevisions);
   delta.mIsServing = delta.mRevision != 0;
   delta.mContactAge = Clock::now() - contact;
