One predicate for a record of an earlier generation of the store

Whether a record counts in the generation that shows it was asked in three forms: by the coordinator's lease, by a group's leadership and by the promotion plan, the first two with the comparison written out. StoreRevision.h has it once now. Behaviour is the same: the guard for revision 0 that the plan and the lease had is beside the check for 0 that leadership had.

--- a/include/sesameway/Leadership.h
+++ b/include/sesameway/Leadership.h
@@ -84,11 +84,6 @@
   void OnRemoved(std::uint64_t aRevision);
   // Whether the store has no record, or one that is older than the known one.
   bool IsLostInStore() const { return mIsLostInStore; }
-  // Whether the record was written in the store's present generation.
-  bool IsOfThisGeneration() const
-  {
-    return mRecord.mGeneration == GenerationOf(mRevision);
-  }
   // Call when the coordinator starts a change: the primary is not used until the record
   // of that change says that it is complete.
   void StandDown(std::uint64_t aChange);
@@ -174,7 +169,8 @@
 
 private:
   bool IsMine() const;
-  bool IsVoid() const;
+  // Whether the record gives nobody the lease.
+  bool IsVoid() const { return IsOutdated(mRecord.mGeneration, mRevision); }
 
   std::string mName;
   std::string mAddress;
--- a/include/sesameway/StoreRevision.h
+++ b/include/sesameway/StoreRevision.h
@@ -29,4 +29,12 @@
   return aRevision & ((std::uint64_t{ 1 } << kRevisionBits) - 1);
 }
 
+// Whether an object at the given revision was written in an earlier generation than the
+// one that shows it. Later versions of it may have been lost. False for revision 0, at
+// which there is no object.
+constexpr bool IsOutdated(std::uint64_t aWrittenIn, std::uint64_t aRevision)
+{
+  return aRevision != 0 && aWrittenIn != GenerationOf(aRevision);
+}
+
 } // namespace sesameway
--- a/src/core/Leadership.cpp
+++ b/src/core/Leadership.cpp
@@ -135,7 +135,8 @@
 
 bool Leadership::IsPrimaryUsable(TimePoint aContact, TimePoint aNow) const
 {
-  return mRevision != 0 && IsOfThisGeneration() && !IsChanging() &&
+  bool isOutdated = IsOutdated(mRecord.mGeneration, mRevision);
+  return mRevision != 0 && !isOutdated && !IsChanging() &&
          aNow < aContact + kContactLimit;
 }
 
@@ -285,9 +286,4 @@
   return !IsVoid() && mRecord.mHolder == mName && mRecord.mIncarnation == mIncarnation;
 }
 
-bool CoordinatorLease::IsVoid() const
-{
-  return mRevision != 0 && mRecord.mGeneration != GenerationOf(mRevision);
-}
-
 } // namespace sesameway
--- a/src/core/Promotion.cpp
+++ b/src/core/Promotion.cpp
@@ -64,13 +64,6 @@
   return nullptr;
 }
 
-// Whether the record was written in an earlier generation of the store. Later records,
-// and the targets in them, may have been lost.
-bool IsOutdated(const GroupRecord& aRecord, std::uint64_t aRevision)
-{
-  return aRevision != 0 && aRecord.mGeneration != GenerationOf(aRevision);
-}
-
 } // namespace
 
 PromotionPlan::Actions PromotionPlan::Step(const GroupRecord& aRecord,
@@ -85,7 +78,8 @@
   // A predecessor may have sent an order up to the time at which this plan started. The
   // store may have lost the record of it.
   bool isOwn = mHasRecordedTarget && aRecord.mFence == aClusterState.mFence;
-  if ((aRecord.mIsOrderOpen || IsOutdated(aRecord, aRevision)) && !isOwn) {
+  bool isOutdated = IsOutdated(aRecord.mGeneration, aRevision);
+  if ((aRecord.mIsOrderOpen || isOutdated) && !isOwn) {
     mEarlierOrderDeadline =
       std::max(mEarlierOrderDeadline, mStartedAt + kOrderEffectLimit);
   }
@@ -191,7 +185,7 @@
 {
   const auto& primary = mDatabases[aRecord.mPrimary];
   bool isQuiet = aNow - std::max(primary.mHeardAt, mStartedAt) > kQuiet;
-  bool isOutdated = IsOutdated(aRecord, aRevision);
+  bool isOutdated = IsOutdated(aRecord.mGeneration, aRevision);
   const auto* listed = Find(aClusterState, aRecord.mPrimary);
   if (isQuiet || isOutdated || listed == nullptr || listed->mIsLeaving) {
     ProbeAll(aClusterState, kProbeInterval, aNow, aActions);
@@ -336,7 +330,7 @@
   if (!IsQuiesced(aRecord, aRevision, aClusterState, aNow, aActions)) {
     return;
   }
-  if (IsOutdated(aRecord, aRevision) && aNow < OrderEffectDeadline()) {
+  if (IsOutdated(aRecord.mGeneration, aRevision) && aNow < OrderEffectDeadline()) {
     return;
   }
   if (mQuiescedAt == TimePoint{}) {
