A typed place in the order of daemons; one lookup of a group's leadership

Read as a newcomer: the order in which zones take turns was a tuple, read by index, and the leadership of a record's group was looked up three times. No change of behaviour.

--- a/src/core/StoreWatchers.cpp
+++ b/src/core/StoreWatchers.cpp
@@ -1,9 +1,10 @@
 #include "sesameway/StoreWatchers.h"
 
 #include <algorithm>
+#include <compare>
 #include <map>
 #include <set>
-#include <tuple>
+#include <utility>
 
 namespace sesameway {
 
@@ -34,6 +35,15 @@
 // How long another daemon is asked in place of the parent once it has helped.
 constexpr Duration kOtherPeerTime = seconds(5);
 
+// A daemon's place in the order in which the zones take turns.
+struct Place
+{
+  std::size_t mTurn = 0;
+  std::string mZone;
+  std::string mName;
+  auto operator<=>(const Place&) const = default;
+};
+
 // Index of the parent of the daemon at index `aIndex`, which is not 0.
 std::size_t ParentOf(std::size_t aIndex)
 {
@@ -60,21 +70,20 @@
   for (auto& it : aDaemons) {
     zones[it.mZone].insert(std::move(it.mName));
   }
-  using Place = std::tuple<std::size_t, std::string, std::string>;
   std::vector<Place> places;
   for (const auto& zone : zones) {
     std::size_t turn = 0;
     for (const auto& it : zone.second) {
-      places.emplace_back(turn++, zone.first, it);
+      places.push_back({ turn++, zone.first, it });
     }
   }
   std::sort(places.begin(), places.end());
   mPreceding.clear();
-  for (const auto& it : places) {
-    if (std::get<2>(it) == mSelf.mName) {
+  for (auto& it : places) {
+    if (it.mName == mSelf.mName) {
       break;
     }
-    mPreceding.push_back(std::get<2>(it));
+    mPreceding.push_back(std::move(it.mName));
   }
   mLevel = LevelOf(mPreceding.size());
 }
--- a/src/proxy/FleetPrimary.cpp
+++ b/src/proxy/FleetPrimary.cpp
@@ -26,7 +26,8 @@
 
 void DatabaseFleet::OnRecord(const GroupRecord& aRecord, std::uint64_t aRevision)
 {
-  if (!mGroups[aRecord.mGroup].mLeadership.OnRecord(aRecord, aRevision)) {
+  auto& leadership = mGroups[aRecord.mGroup].mLeadership;
+  if (!leadership.OnRecord(aRecord, aRevision)) {
     return;
   }
   LOG(INFO) << daemon::LogLine("group_record")
@@ -36,10 +37,9 @@
                  .With("term", aRecord.mTerm)
                  .With("primary", aRecord.mPrimary)
                  .With("revision", aRevision)
-                 .With("lost_in_store",
-                       mGroups[aRecord.mGroup].mLeadership.IsLostInStore())
+                 .With("lost_in_store", leadership.IsLostInStore())
                  .With("contact_age_ms", Millis(Clock::now() - mContact));
-  OnChange(mGroups[aRecord.mGroup].mLeadership.Record());
+  OnChange(leadership.Record());
   Tick();
 }
 
