--- a/src/peer/CapnpPeers.cpp
+++ b/src/peer/CapnpPeers.cpp
@@ -116,6 +116,24 @@
   }
 }
 
+// A primary's hint is a message of its own or an entry of a list, with the same
+// members.
+template<typename Message>
+PrimaryHint ReadHint(const Message& aMessage)
+{
+  return { aMessage.getTerm(),
+           aMessage.getDatabase(),
+           microseconds(aMessage.getSeenAgeUs()) };
+}
+
+template<typename Message>
+void FillHint(const PrimaryHint& aHint, Message aTo)
+{
+  aTo.setTerm(aHint.mTerm);
+  aTo.setDatabase(aHint.mDatabase);
+  aTo.setSeenAgeUs(std::chrono::duration_cast<microseconds>(aHint.mSeenAge).count());
+}
+
 EncodedObjectId ReadId(const wire::EncodedObjectId::Reader& aId)
 {
   return { aId.getName(), aId.getRevision(), aId.getDigest() };
@@ -315,10 +333,7 @@
   kj::Promise<void> primary(PrimaryContext aContext) override
   {
     auto hint = mHandler->OnPrimary(aContext.getParams().getGroup());
-    aContext.getResults().setTerm(hint.mTerm);
-    aContext.getResults().setDatabase(hint.mDatabase);
-    aContext.getResults().setSeenAgeUs(
-      std::chrono::duration_cast<microseconds>(hint.mSeenAge).count());
+    FillHint(hint, aContext.getResults());
     return kj::READY_NOW;
   }
 
@@ -333,10 +348,7 @@
     unsigned n = 0;
     for (const auto& it : hints) {
       to[n].setGroup(it.first);
-      to[n].setTerm(it.second.mTerm);
-      to[n].setDatabase(it.second.mDatabase);
-      to[n].setSeenAgeUs(
-        std::chrono::duration_cast<microseconds>(it.second.mSeenAge).count());
+      FillHint(it.second, to[n]);
       ++n;
     }
     return kj::READY_NOW;
@@ -559,11 +571,7 @@
       [aGroup](wire::Peer::Client aPeer) {
         auto request = aPeer.primaryRequest();
         request.setGroup(aGroup);
-        return request.send().then([](auto aReply) {
-          return PrimaryHint{ aReply.getTerm(),
-                              aReply.getDatabase(),
-                              microseconds(aReply.getSeenAgeUs()) };
-        });
+        return request.send().then([](auto aReply) { return ReadHint(aReply); });
       },
       std::move(aDone));
   }
@@ -685,9 +693,7 @@
   {
     PrimaryHints hints;
     for (auto it : aReply.getPrimaries()) {
-      hints[it.getGroup()] = { it.getTerm(),
-                               it.getDatabase(),
-                               microseconds(it.getSeenAgeUs()) };
+      hints[it.getGroup()] = ReadHint(it);
     }
     return hints;
   }
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -121,6 +121,7 @@
   void ConnectToOnePeer();
   void OnPeerHeads(const std::vector<peer::GroupHead>& aHeads, TimePoint aAskedAt);
   void UpdatePrimaryHints(TimePoint aNow);
+  peer::PrimaryHint HintOf(const std::string& aGroup) const;
   void LogTotals(TimePoint aNow);
   void DrainSessions();
   // Handles all changes of member records since the last call.
--- a/src/proxy/ProxyPeers.cpp
+++ b/src/proxy/ProxyPeers.cpp
@@ -138,20 +138,25 @@
   return mAdmission->LendTokens(aOrganisation, aIncarnation, aWanted);
 }
 
-peer::PrimaryHint Proxy::OnPrimary(const std::string& aGroup)
+// Call it with mMutex locked.
+peer::PrimaryHint Proxy::HintOf(const std::string& aGroup) const
 {
-  std::lock_guard lock(mMutex);
   auto it = mHints.find(aGroup);
   return it == mHints.end() ? peer::PrimaryHint{} : it->second;
 }
 
+peer::PrimaryHint Proxy::OnPrimary(const std::string& aGroup)
+{
+  std::lock_guard lock(mMutex);
+  return HintOf(aGroup);
+}
+
 peer::PrimaryHints Proxy::OnPrimaries(const std::vector<std::string>& aGroups)
 {
   peer::PrimaryHints hints;
   std::lock_guard lock(mMutex);
   for (const auto& it : aGroups) {
-    auto hint = mHints.find(it);
-    hints[it] = hint == mHints.end() ? peer::PrimaryHint{} : hint->second;
+    hints[it] = HintOf(it);
   }
   if (!aGroups.empty()) {
     return hints;
