--- a/include/sesameway/Catalogue.h
+++ b/include/sesameway/Catalogue.h
@@ -76,7 +76,8 @@
 {
   // Revision of the platform's store, which grows with each change.
   std::uint64_t mRevision = 0;
-  // The number that the operator gave it, which only rises; 0 if it has none.
+  // The number that the operator gave it. It rises, but not by 1 each time; 0 if there
+  // is none.
   std::uint64_t mVersion = 0;
   // Time in microseconds after which an idle transaction may be rolled back; 0 means
   // never.
--- a/test/platform/ObjectStoreTest.cpp
+++ b/test/platform/ObjectStoreTest.cpp
@@ -370,7 +370,7 @@
           "services":[{"name":"s","maxConns":22}],"limits":{"txIdleMs":3000},
           "tenants":[{"name":"acme","apiKeys":["k1"],"perS":12.5,"burst":20}]})",
       19);
-    const auto& catalogue = read->mCatalogue;
+    const auto& catalogue = *read;
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 7 }, read->mVersion);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 19 }, catalogue.mRevision);
     const auto* route = catalogue.FindRoute("lepu");
@@ -385,8 +385,7 @@
   {
     auto read = DecodeConfiguration(
       R"({"version":1,"routes":[{"host":"a","type":"primary","maxStaleMs":900}]})", 1);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 0 },
-                         read->mCatalogue.FindRoute("a")->mMaxAgeUs);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 0 }, read->FindRoute("a")->mMaxAgeUs);
   }
 
   void ReadsADatabase()
