--- a/src/core/StoreWatchers.cpp
+++ b/src/core/StoreWatchers.cpp
@@ -1,9 +1,9 @@
 #include "sesameway/StoreWatchers.h"
 
 #include <algorithm>
-#include <compare>
 #include <map>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace sesameway {
@@ -41,7 +41,12 @@
   std::size_t mTurn = 0;
   std::string mZone;
   std::string mName;
-  auto operator<=>(const Place&) const = default;
+
+  bool operator<(const Place& aOther) const
+  {
+    return std::tie(mTurn, mZone, mName) <
+           std::tie(aOther.mTurn, aOther.mZone, aOther.mName);
+  }
 };
 
 // Index of the parent of the daemon at index `aIndex`, which is not 0.
