A daemon that starts after the store's return waits only for the rest

Cause: each daemon counted the 7 s before it takes the void lease of the coordinator from its own start.

Ruled out: a shorter delay (a holder that has not seen the return may act for its 6 s), and taking a lease that was held by the daemon's former process (a later lease may be lost).

Change: while the record is void, a daemon records each second how long lost leases have been waited out, with the generation in which that was counted. A daemon that reads it counts from there. A time of another generation says nothing and is not used.

Test: LeadershipTest::ADaemonThatStartsLaterWaitsOnlyForTheRest fails with the recorded time left out, and with daemons that stop left out; AWaitOfAnEarlierGenerationDoesNotCount fails with the generation left out. Two existing tests asked for no write at all before the delay was over; they now ask that no write gives the lease, each write being accepted, which is what they guard against.

--- a/include/sesameway/Leadership.h
+++ b/include/sesameway/Leadership.h
@@ -123,6 +123,11 @@
   // The store's generation in which the record was written. In a later generation the
   // record is void: leases that were granted after it may have been lost.
   std::uint64_t mGeneration = 0;
+  // How long the holders of lost leases have been waited out in the generation
+  // `mWaitGeneration`. Written while the record is void, so that a daemon that starts
+  // later waits only for the rest.
+  Duration mWaited{};
+  std::uint64_t mWaitGeneration = 0;
   bool operator==(const CoordinatorRecord&) const = default;
 };
 
@@ -171,6 +176,11 @@
   bool IsMine() const;
   // Whether the record gives nobody the lease.
   bool IsVoid() const { return IsOutdated(mRecord.mGeneration, mRevision); }
+  // How long the void record says that lost leases have been waited out.
+  Duration RecordedWait() const;
+  std::optional<CoordinatorRecord> NextRecord(TimePoint aNow,
+                                              std::uint64_t aGeneration) const;
+  CoordinatorRecord TakenRecord(std::uint64_t aGeneration) const;
 
   std::string mName;
   std::string mAddress;
@@ -180,6 +190,8 @@
   std::uint64_t mRevision = 0;
   bool mIsKnown = false;
   bool mIsLeaving = false;
+  // When the record last changed; while it is void, a time that is not before the
+  // store's return.
   TimePoint mSeenAt{};
   TimePoint mNextWrite{};
   std::optional<Write> mPendingWrite;
--- a/src/core/Leadership.cpp
+++ b/src/core/Leadership.cpp
@@ -13,6 +13,8 @@
 constexpr Duration kRankStep = milliseconds(150);
 // Pause after a write that was lost or rejected.
 constexpr Duration kWritePause = milliseconds(300);
+// How often the time that lost leases have been waited out is recorded.
+constexpr Duration kWaitRecordInterval = milliseconds(1000);
 // The fencing tokens of a generation of the store start at its number shifted by this,
 // so that they exceed all tokens of earlier generations, whose records may be lost.
 constexpr int kFenceBits = 40;
@@ -164,6 +166,11 @@
   record.mFence = NumberIn(*table, "fence");
   record.mRenewal = NumberIn(*table, "renewal");
   record.mGeneration = NumberIn(*table, "generation");
+  // A longer time than the delay itself has no meaning.
+  auto limit = std::chrono::duration_cast<milliseconds>(kCoordinatorTakeoverDelay);
+  auto waited = NumberIn(*table, "waited_ms");
+  record.mWaited = milliseconds(std::min<std::uint64_t>(waited, limit.count()));
+  record.mWaitGeneration = NumberIn(*table, "wait_generation");
   return record;
 }
 
@@ -176,6 +183,8 @@
     { "fence", Signed(aRecord.mFence) },
     { "renewal", Signed(aRecord.mRenewal) },
     { "generation", Signed(aRecord.mGeneration) },
+    { "waited_ms", std::chrono::duration_cast<milliseconds>(aRecord.mWaited).count() },
+    { "wait_generation", Signed(aRecord.mWaitGeneration) },
   });
 }
 
@@ -207,6 +216,9 @@
   if (isRestored || !wasVoid || !IsVoid()) {
     mSeenAt = aNow;
   }
+  if (IsVoid()) {
+    mSeenAt = std::min(mSeenAt, aNow - RecordedWait());
+  }
   if (!IsMine()) {
     mHeldUntil = TimePoint{};
   }
@@ -226,26 +238,55 @@
   if (!mIsKnown || mPendingWrite || aNow < mNextWrite) {
     return std::nullopt;
   }
-  Write write{ mRecord, mRevision };
+  auto record = NextRecord(aNow, aGeneration);
+  if (!record) {
+    return std::nullopt;
+  }
+  ++record->mRenewal;
+  mPendingWrite = Write{ *record, mRevision };
+  mSentAt = aNow;
+  return mPendingWrite;
+}
+
+std::optional<CoordinatorRecord> CoordinatorLease::NextRecord(
+  TimePoint aNow,
+  std::uint64_t aGeneration) const
+{
+  auto record = mRecord;
   if (IsMine()) {
     if (mIsLeaving) {
-      write.mRecord.mHolder.clear();
-      write.mRecord.mAddress.clear();
-    }
-  } else {
-    // The lease is free, or this daemon held it before it was restarted.
-    bool isFree = !IsVoid() && (mRecord.mHolder.empty() || mRecord.mHolder == mName);
-    auto wait = isFree ? Duration::zero() : kCoordinatorTakeoverDelay;
-    if (mIsLeaving || aNow < mSeenAt + wait + kRankStep * mRank) {
-      return std::nullopt;
+      record.mHolder.clear();
+      record.mAddress.clear();
     }
-    auto fence = std::max(mRecord.mFence, aGeneration << kFenceBits) + 1;
-    write.mRecord = { mName, mAddress, mIncarnation, fence, 0, aGeneration };
+    return record;
   }
-  ++write.mRecord.mRenewal;
-  mPendingWrite = write;
-  mSentAt = aNow;
-  return write;
+  // The lease is free, or this daemon held it before it was restarted.
+  bool isFree = !IsVoid() && (mRecord.mHolder.empty() || mRecord.mHolder == mName);
+  auto wait = isFree ? Duration::zero() : kCoordinatorTakeoverDelay;
+  auto delay = kRankStep * mRank;
+  if (!mIsLeaving && aNow >= mSeenAt + wait + delay) {
+    return TakenRecord(aGeneration);
+  }
+  // Also while this daemon is stopping: all others may have just been started.
+  auto waited = std::min(aNow - mSeenAt, kCoordinatorTakeoverDelay);
+  bool isDue = waited >= RecordedWait() + kWaitRecordInterval + delay;
+  if (IsVoid() && aGeneration == GenerationOf(mRevision) && isDue) {
+    record.mWaited = waited;
+    record.mWaitGeneration = aGeneration;
+    return record;
+  }
+  return std::nullopt;
+}
+
+CoordinatorRecord CoordinatorLease::TakenRecord(std::uint64_t aGeneration) const
+{
+  CoordinatorRecord record;
+  record.mHolder = mName;
+  record.mAddress = mAddress;
+  record.mIncarnation = mIncarnation;
+  record.mFence = std::max(mRecord.mFence, aGeneration << kFenceBits) + 1;
+  record.mGeneration = aGeneration;
+  return record;
 }
 
 // An unanswered write may still take effect. The store then shows this daemon as the
@@ -265,9 +306,9 @@
   if (*aRevision > mRevision) {
     mRecord = write.mRecord;
     mRevision = *aRevision;
-    mSeenAt = aNow;
+    mSeenAt = IsVoid() ? mSeenAt : aNow;
   }
-  mNextWrite = mSentAt + kCoordinatorRenewal;
+  mNextWrite = IsMine() ? mSentAt + kCoordinatorRenewal : TimePoint{};
   mHeldUntil = IsMine() ? mSentAt + kCoordinatorLease : TimePoint{};
 }
 
@@ -281,6 +322,14 @@
   return mRecord.mHolder.empty() ? nullptr : &mRecord;
 }
 
+// The time that was waited in an earlier generation says nothing about leases that were
+// granted since.
+Duration CoordinatorLease::RecordedWait() const
+{
+  bool isCurrent = mRecord.mWaitGeneration == GenerationOf(mRevision);
+  return isCurrent ? mRecord.mWaited : Duration::zero();
+}
+
 bool CoordinatorLease::IsMine() const
 {
   return !IsVoid() && mRecord.mHolder == mName && mRecord.mIncarnation == mIncarnation;
--- a/test/core/LeadershipTest.cpp
+++ b/test/core/LeadershipTest.cpp
@@ -20,6 +20,8 @@
   CPPUNIT_TEST(AReleasedLeaseIsTakenAtOnce);
   CPPUNIT_TEST(NobodyHoldsTheLeaseOfAnOlderCopyOfTheStore);
   CPPUNIT_TEST(ARestartedHolderWaitsAfterTheStoreHasReturned);
+  CPPUNIT_TEST(ADaemonThatStartsLaterWaitsOnlyForTheRest);
+  CPPUNIT_TEST(AWaitOfAnEarlierGenerationDoesNotCount);
   CPPUNIT_TEST(FencingTokensRiseAlthoughTheStoreHasLostSome);
   CPPUNIT_TEST(AnOlderGroupRecordIsNotTaken);
   CPPUNIT_TEST(AReturnedRecordCountsOnceItIsWrittenAgain);
@@ -46,7 +48,8 @@
     auto record = Record(GroupPhase::Changing, 4);
     record.mTarget = "i-2";
     CPPUNIT_ASSERT(ParseGroupRecord(FormatGroupRecord(record)) == record);
-    CoordinatorRecord coordinator{ "a \"b\"", "10.0.0.1:1", 1ULL << 62, 3, 9 };
+    CoordinatorRecord coordinator{ "a \"b\"", "10.0.0.1:1", 1ULL << 62, 3, 9,
+                                   1,         seconds(3),   2 };
     CPPUNIT_ASSERT(ParseCoordinatorRecord(FormatCoordinatorRecord(coordinator)) ==
                    coordinator);
   }
@@ -172,6 +175,17 @@
     return { aHolder, "10.0.0.1:1", 7, 3, 9 };
   }
 
+  // Whether the daemon's next write gives it the lease. Every write is accepted.
+  static bool TakesLease(CoordinatorLease& aLease,
+                         TimePoint aNow,
+                         std::uint64_t aGeneration = 1)
+  {
+    if (auto write = aLease.Next(aNow, aGeneration)) {
+      aLease.OnWritten(write->mExpected + 1, aNow);
+    }
+    return aLease.IsHolder(aNow);
+  }
+
   // Guards against two coordinators: another daemon may have taken the lease in a
   // change that the store has lost.
   void NobodyHoldsTheLeaseOfAnOlderCopyOfTheStore()
@@ -180,16 +194,51 @@
     auto now = kStart + seconds(1);
     holder.OnRecord({ "a", "10.0.0.1:1", 7, 1, 1 }, MakeRevision(1, 9), now);
     CPPUNIT_ASSERT(!holder.IsHolder(now));
-    CPPUNIT_ASSERT(!holder.Next(now + kCoordinatorLease, 1));
-    CPPUNIT_ASSERT(holder.Next(now + kCoordinatorTakeoverDelay, 1));
+    CPPUNIT_ASSERT(!TakesLease(holder, now + kCoordinatorLease));
+    CPPUNIT_ASSERT(TakesLease(holder, now + kCoordinatorTakeoverDelay));
   }
 
   void ARestartedHolderWaitsAfterTheStoreHasReturned()
   {
     CoordinatorLease lease("a", "10.0.0.1:1", 8, 0);
     lease.OnRecord(LeaseOf("a"), MakeRevision(1, 9), kStart);
-    CPPUNIT_ASSERT(!lease.Next(kStart + kCoordinatorLease, 1));
-    CPPUNIT_ASSERT(lease.Next(kStart + kCoordinatorTakeoverDelay, 1));
+    CPPUNIT_ASSERT(!TakesLease(lease, kStart + kCoordinatorLease));
+    CPPUNIT_ASSERT(TakesLease(lease, kStart + kCoordinatorTakeoverDelay));
+  }
+
+  // Guards against a group without a coordinator while daemons are restarted again and
+  // again after the store's return.
+  void ADaemonThatStartsLaterWaitsOnlyForTheRest()
+  {
+    CoordinatorLease first("a", "10.0.0.1:1", 7, 0);
+    first.OnRecord(LeaseOf("c"), MakeRevision(1, 9), kStart);
+    first.Leave();
+    std::uint64_t revision = 9;
+    CoordinatorRecord record;
+    for (auto now = kStart; now < kStart + seconds(5); now += milliseconds(50)) {
+      auto write = first.Next(now, 1);
+      if (write) {
+        record = write->mRecord;
+        first.OnWritten(MakeRevision(1, ++revision), now);
+      }
+      CPPUNIT_ASSERT(!first.IsHolder(now));
+    }
+    CoordinatorLease second("b", "10.0.0.2:1", 8, 0);
+    second.OnRecord(record, MakeRevision(1, revision), kStart + seconds(5));
+    CPPUNIT_ASSERT(!TakesLease(second, kStart + kCoordinatorLease));
+    CPPUNIT_ASSERT(
+      TakesLease(second, kStart + kCoordinatorTakeoverDelay + milliseconds(1200)));
+  }
+
+  void AWaitOfAnEarlierGenerationDoesNotCount()
+  {
+    auto record = LeaseOf("c");
+    record.mWaited = seconds(6);
+    record.mWaitGeneration = 1;
+    CoordinatorLease lease("b", "10.0.0.2:1", 8, 0);
+    lease.OnRecord(record, MakeRevision(2, 9), kStart);
+    CPPUNIT_ASSERT(!TakesLease(lease, kStart + kCoordinatorLease, 2));
+    CPPUNIT_ASSERT(TakesLease(lease, kStart + kCoordinatorTakeoverDelay, 2));
   }
 
   // Guards against two coordinators with the same token: the record with the higher one
