A lease whose record the store has lost is taken again

Cause: a removal of the coordinator's record was read as a record without a holder, at the removal's revision. The next write was conditional on that revision, which no object has, so the store would have rejected it for ever and no daemon could have become coordinator again. A store that returns with a copy from before the first lease does this, and so does an operator who deletes the record.

Ruled out: taking the lease at once, as the holder may not have seen the return and acts for 6 s.

Change: CoordinatorLease::OnRemoved. Nobody holds a removed lease, it is taken after the usual 7 s, by a write that expects no object. The log says coordinator_record_removed.

LeadershipTest::ALeaseWhoseRecordIsLostIsTakenOnceItHasEnded tests the rule alone. Not covered, in INVARIANTS: a daemon that starts after such a return knows of no lease and takes it at once.

--- a/include/sesameway/Leadership.h
+++ b/include/sesameway/Leadership.h
@@ -156,8 +156,11 @@
   void OnRecord(const CoordinatorRecord& aRecord,
                 std::uint64_t aRevision,
                 TimePoint aNow);
-  // Call when the store has no lease record.
+  // Call when the store has no lease record and none is known.
   void OnNoRecord(TimePoint aNow);
+  // Call when the store no longer has the lease record, as of a revision. Its holder
+  // may act until its lease ends, so nobody takes the lease before that.
+  void OnRemoved(std::uint64_t aRevision, TimePoint aNow);
   // Returns the next write to send, if one is due. At most one write is in flight at a
   // time. `aGeneration` is the store's present generation.
   std::optional<Write> Next(TimePoint aNow, std::uint64_t aGeneration = 0);
@@ -175,7 +178,10 @@
 private:
   bool IsMine() const;
   // Whether the record gives nobody the lease.
-  bool IsVoid() const { return IsOutdated(mRecord.mGeneration, mRevision); }
+  bool IsVoid() const
+  {
+    return mIsRemoved || IsOutdated(mRecord.mGeneration, mRevision);
+  }
   // How long the void record says that lost leases have been waited out.
   Duration RecordedWait() const;
   std::optional<CoordinatorRecord> NextRecord(TimePoint aNow,
@@ -189,6 +195,7 @@
   CoordinatorRecord mRecord;
   std::uint64_t mRevision = 0;
   bool mIsKnown = false;
+  bool mIsRemoved = false;
   bool mIsLeaving = false;
   // When the record last changed; while it is void, a time that is not before the
   // store's return.
--- a/src/core/Leadership.cpp
+++ b/src/core/Leadership.cpp
@@ -211,6 +211,7 @@
   mRecord = aRecord;
   mRevision = aRevision;
   mIsKnown = true;
+  mIsRemoved = false;
   // The holders of lost leases act no longer than those of a lease that was renewed
   // when the store's return was first seen.
   if (isRestored || !wasVoid || !IsVoid()) {
@@ -232,6 +233,17 @@
   }
 }
 
+void CoordinatorLease::OnRemoved(std::uint64_t aRevision, TimePoint aNow)
+{
+  if (aRevision <= mRevision || !mIsKnown) {
+    return;
+  }
+  mRevision = aRevision;
+  mIsRemoved = true;
+  mSeenAt = aNow;
+  mHeldUntil = TimePoint{};
+}
+
 std::optional<CoordinatorLease::Write> CoordinatorLease::Next(TimePoint aNow,
                                                               std::uint64_t aGeneration)
 {
@@ -243,7 +255,7 @@
     return std::nullopt;
   }
   ++record->mRenewal;
-  mPendingWrite = Write{ *record, mRevision };
+  mPendingWrite = Write{ *record, mIsRemoved ? 0 : mRevision };
   mSentAt = aNow;
   return mPendingWrite;
 }
@@ -270,7 +282,8 @@
   // Also while this daemon is stopping: all others may have just been started.
   auto waited = std::min(aNow - mSeenAt, kCoordinatorTakeoverDelay);
   bool isDue = waited >= RecordedWait() + kWaitRecordInterval + delay;
-  if (IsVoid() && aGeneration == GenerationOf(mRevision) && isDue) {
+  bool canRecord = IsVoid() && !mIsRemoved && aGeneration == GenerationOf(mRevision);
+  if (canRecord && isDue) {
     record.mWaited = waited;
     record.mWaitGeneration = aGeneration;
     return record;
@@ -306,6 +319,7 @@
   if (*aRevision > mRevision) {
     mRecord = write.mRecord;
     mRevision = *aRevision;
+    mIsRemoved = false;
     mSeenAt = IsVoid() ? mSeenAt : aNow;
   }
   mNextWrite = IsMine() ? mSentAt + kCoordinatorRenewal : TimePoint{};
--- a/src/proxy/CoordinatorRun.cpp
+++ b/src/proxy/CoordinatorRun.cpp
@@ -51,6 +51,12 @@
     mLease.OnNoRecord(now);
     return;
   }
+  if (aObject->mDeleted) {
+    LOG(WARNING) << daemon::LogLine("coordinator_record_removed")
+                      .With("revision", aObject->mRevision);
+    mLease.OnRemoved(aObject->mRevision, now);
+    return;
+  }
   auto record = ParseCoordinatorRecord(aObject->mBody);
   if (!record) {
     LOG(WARNING) << daemon::LogLine("coordinator_record_unreadable")
--- a/test/core/LeadershipTest.cpp
+++ b/test/core/LeadershipTest.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(ARestartedHolderWaitsAfterTheStoreHasReturned);
   CPPUNIT_TEST(ADaemonThatStartsLaterWaitsOnlyForTheRest);
   CPPUNIT_TEST(AWaitOfAnEarlierGenerationDoesNotCount);
+  CPPUNIT_TEST(ALeaseWhoseRecordIsLostIsTakenOnceItHasEnded);
   CPPUNIT_TEST(FencingTokensRiseAlthoughTheStoreHasLostSome);
   CPPUNIT_TEST(AnOlderGroupRecordIsNotTaken);
   CPPUNIT_TEST(AReturnedRecordCountsOnceItIsWrittenAgain);
@@ -241,6 +242,25 @@
     CPPUNIT_ASSERT(TakesLease(lease, kStart + kCoordinatorTakeoverDelay, 2));
   }
 
+  // Guards against a fleet that never has a coordinator again: the store no longer has
+  // the revision that a write expects.
+  void ALeaseWhoseRecordIsLostIsTakenOnceItHasEnded()
+  {
+    auto holder = Holder(kStart, 9);
+    CoordinatorLease other("b", "10.0.0.2:1", 8, 0);
+    other.OnRecord({ "a", "10.0.0.1:1", 7, 1, 1 }, 9, kStart);
+    auto now = kStart + seconds(1);
+    for (auto* it : { &holder, &other }) {
+      it->OnRemoved(MakeRevision(1, 3), now);
+      CPPUNIT_ASSERT(!it->IsHolder(now));
+      CPPUNIT_ASSERT(!it->Next(now + kCoordinatorLease, 1));
+      auto write = it->Next(now + kCoordinatorTakeoverDelay, 1);
+      CPPUNIT_ASSERT(write && write->mExpected == 0);
+    }
+    other.OnWritten(MakeRevision(1, 4), now + kCoordinatorTakeoverDelay);
+    CPPUNIT_ASSERT(other.IsHolder(now + kCoordinatorTakeoverDelay));
+  }
+
   // Guards against two coordinators with the same token: the record with the higher one
   // is lost.
   void FencingTokensRiseAlthoughTheStoreHasLostSome()
--- a/test/proxy/ProxyDaemon.h
+++ b/test/proxy/ProxyDaemon.h
@@ -26,6 +26,13 @@
 constexpr const char* kConfiguration = "config/main";
 constexpr const char* kDatabaseKind = "servers";
 
+// A body that was to be written, and the version that the object was to have before.
+struct RequestedPut
+{
+  std::string mBody;
+  std::uint64_t mExpected = 0;
+};
+
 // The store as one daemon sees it. While it is cut off, every call fails.
 class FakeStore
   : public platform::Platform
@@ -44,8 +51,8 @@
     mRevision = aObject.mRevision;
     mObjects.push_back(std::move(aObject));
   }
-  // The store returns with these objects, in their generation. Call it on the loop's
-  // thread.
+  // The store returns with these objects, in their generation: changes since an earlier
+  // one can't be had any more. Call it on the loop's thread.
   void Restore(std::vector<platform::Object> aObjects)
   {
     mObjects.clear();
@@ -53,9 +60,8 @@
       Write(std::move(it));
     }
   }
-  // Bodies of the objects that were to be written, by name. Call it on the loop's
-  // thread.
-  const std::map<std::string, std::string>& Puts() const { return mPuts; }
+  // Objects that were to be written, by name. Call it on the loop's thread.
+  const std::map<std::string, RequestedPut>& Puts() const { return mPuts; }
 
   void ListKind(const std::string& aKind,
                 TimePoint,
@@ -73,8 +79,10 @@
     std::function<void(std::optional<platform::Changes>)> aDone) override
   {
     Answer(milliseconds(100), [this, aKind, aRevision, aDone] {
-      mIsCutOff ? aDone(std::nullopt)
-                : aDone(platform::Changes{ Newer(aKind, aRevision), mRevision, false });
+      bool isGone = GenerationOf(aRevision) != GenerationOf(mRevision);
+      mIsCutOff
+        ? aDone(std::nullopt)
+        : aDone(platform::Changes{ Newer(aKind, aRevision), mRevision, isGone });
     });
   }
 
@@ -93,13 +101,13 @@
   // Calls come from the loop's thread, except for the table of slots.
   void Put(const std::string& aName,
            const std::string& aBody,
-           std::uint64_t,
+           std::uint64_t aExpected,
            bool,
            TimePoint,
            std::function<void(std::optional<platform::PutResult>)> aDone) override
   {
     if (aName != kShareObject) {
-      mPuts[aName] = aBody;
+      mPuts[aName] = { aBody, aExpected };
     }
     aDone(std::nullopt);
   }
@@ -138,7 +146,7 @@
   bool mIsCutOff;
   std::uint64_t mRevision = 1;
   std::vector<platform::Object> mObjects;
-  std::map<std::string, std::string> mPuts;
+  std::map<std::string, RequestedPut> mPuts;
 };
 
 class NoPromotion : public PromotionClient
@@ -221,11 +229,11 @@
     });
   }
   // What the daemon wanted to write to the object last; empty if nothing.
-  std::string Put(const std::string& aName)
+  RequestedPut Put(const std::string& aName)
   {
-    return OnLoop<std::string>([&] {
+    return OnLoop<RequestedPut>([&] {
       auto put = mStore->Puts().find(aName);
-      return put == mStore->Puts().end() ? std::string() : put->second;
+      return put == mStore->Puts().end() ? RequestedPut() : put->second;
     });
   }
   // Waits until the configuration is in force. Returns false if it is not by the
--- a/test/proxy/StoreRestoreTest.cpp
+++ b/test/proxy/StoreRestoreTest.cpp
@@ -11,6 +11,7 @@
   CPPUNIT_TEST_SUITE(StoreRestoreTest);
   CPPUNIT_TEST(AnOlderConfigurationIsNotTaken);
   CPPUNIT_TEST(TheRecordOfAGroupThatTheStoreLostIsWrittenBack);
+  CPPUNIT_TEST(TheLeaseThatTheStoreLostIsWrittenAnew);
   CPPUNIT_TEST_SUITE_END();
 
   static platform::Object Configuration(std::uint64_t aVersion, std::uint64_t aRevision)
@@ -62,8 +63,26 @@
     CPPUNIT_ASSERT(IsSoon([&] { return daemon->VersionInForce() == 7; }));
     daemon->Restore(
       { Configuration(7, MakeRevision(1, 5)), Group(1, MakeRevision(1, 6)) });
+    CPPUNIT_ASSERT(IsSoon(
+      [&] { return daemon->Put("sesameway/group.g").mBody == Group(2, 9).mBody; }));
+    daemon->Stop();
+  }
+
+  // Guards against a fleet that never has a coordinator again.
+  void TheLeaseThatTheStoreLostIsWrittenAnew()
+  {
+    auto* daemon = new ProxyDaemon("a", FreeAddress(), {}, false);
+    CoordinatorRecord lease{ "b", "127.0.0.1:1", 7, 3, 9 };
+    daemon->Write(Configuration(7, 5));
+    daemon->Write(
+      { "sesameway/coordinator", 9, 9, FormatCoordinatorRecord(lease), false });
+    daemon->Run();
+    CPPUNIT_ASSERT(IsSoon([&] { return daemon->VersionInForce() == 7; }));
+    daemon->Restore({ Configuration(7, MakeRevision(1, 5)) });
     CPPUNIT_ASSERT(
-      IsSoon([&] { return daemon->Put("sesameway/group.g") == Group(2, 9).mBody; }));
+      IsSoon([&] { return !daemon->Put("sesameway/coordinator").mBody.empty(); }));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 0 },
+                         daemon->Put("sesameway/coordinator").mExpected);
     daemon->Stop();
   }
 };
