--- a/test/platform/ObjectStoreTest.cpp
+++ b/test/platform/ObjectStoreTest.cpp
@@ -122,6 +122,7 @@
   CPPUNIT_TEST(ReadsAllPagesOfAList);
   CPPUNIT_TEST(AListingThatCanNotGoOnFails);
   CPPUNIT_TEST(MembersOfAnotherTypeEndNoProcess);
+  CPPUNIT_TEST(ADeeplyNestedEntryEndsNoProcess);
   CPPUNIT_TEST(CreatesAndReplacesOnCondition);
   CPPUNIT_TEST(AConflictReturnsTheCurrentObject);
   CPPUNIT_TEST(AnErrorStatusIsNoAnswer);
@@ -269,6 +270,21 @@
     CPPUNIT_ASSERT(!changes->mObjects.front().mDeleted);
   }
 
+  // Guards against one entry of a database that ends every daemon by its stack.
+  void ADeeplyNestedEntryEndsNoProcess()
+  {
+    constexpr std::size_t kDepth = 400'000;
+    auto spec = std::string(kDepth, '[') + std::string(kDepth, ']');
+    auto body = R"({"items":[{"meta":{"name":"a","rev":3},"spec":)" + spec + "}," +
+                MakeObjectText("b", 4) + R"(],"hasMore":false,"currentRev":9})";
+    mServer->mAnswers = { MakeHttpResponse(200, body) };
+    auto listing =
+      Wait<Listing>([&](auto aDone) { mStore->ListKind("servers", Soon(), aDone); });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, listing->mObjects.size());
+    const auto& nested = listing->mObjects.front();
+    CPPUNIT_ASSERT(!DecodeDatabase(nested.mName, nested.mBody));
+  }
+
   void CreatesAndReplacesOnCondition()
   {
     mServer->mAnswers = { MakeHttpResponse(201, MakeObjectText("a", 5)) };
