Numbers of an entry that do not fit are bounded

A number of an entry was converted to a count without a look at its size, which is undefined behaviour above the count's range, and times in milliseconds were multiplied without one: a limit of 1e300 ms could become none, or one that has passed.

--- a/test/platform/ObjectStoreTest.cpp
+++ b/test/platform/ObjectStoreTest.cpp
@@ -123,6 +123,7 @@
   CPPUNIT_TEST(AListingThatCanNotGoOnFails);
   CPPUNIT_TEST(MembersOfAnotherTypeEndNoProcess);
   CPPUNIT_TEST(ADeeplyNestedEntryEndsNoProcess);
+  CPPUNIT_TEST(NumbersThatDoNotFitAreBounded);
   CPPUNIT_TEST(CreatesAndReplacesOnCondition);
   CPPUNIT_TEST(AConflictReturnsTheCurrentObject);
   CPPUNIT_TEST(AnErrorStatusIsNoAnswer);
@@ -285,6 +286,18 @@
     CPPUNIT_ASSERT(!DecodeDatabase(nested.mName, nested.mBody));
   }
 
+  // Guards against a long time that becomes a short one, or none.
+  void NumbersThatDoNotFitAreBounded()
+  {
+    auto database = DecodeDatabase(
+      "a", R"({"service":"g","addr":"x:1","state":"ready","slots":1e300})");
+    CPPUNIT_ASSERT_EQUAL(std::numeric_limits<std::uint32_t>::max(), database->mSlots);
+    auto catalogue = DecodeConfiguration(
+      R"({"version":1e300,"routes":[{"host":"r","timeoutMs":1e300}]})", 1);
+    auto timeout = microseconds(catalogue->mRoutes.at("r").mStatementTimeoutUs);
+    CPPUNIT_ASSERT(Clock::now() + timeout > Clock::now() + std::chrono::days(100));
+  }
+
   void CreatesAndReplacesOnCondition()
   {
     mServer->mAnswers = { MakeHttpResponse(201, MakeObjectText("a", 5)) };
