--- a/include/sesameway/Leadership.h
+++ b/include/sesameway/Leadership.h
@@ -161,8 +161,9 @@
   // Call when the store no longer has the lease record, as of a revision. Its holder
   // may act until its lease ends, so nobody takes the lease before that.
   void OnRemoved(std::uint64_t aRevision, TimePoint aNow);
-  // Returns the next write to send, if one is due. At most one write is in flight at a
-  // time. `aGeneration` is the store's present generation.
+  // Returns the next write to send, if one is due: it takes, renews or releases the
+  // lease, or records for how long a void one has been waited out. At most one write is
+  // in flight at a time. `aGeneration` is the store's present generation.
   std::optional<Write> Next(TimePoint aNow, std::uint64_t aGeneration = 0);
   // `aRevision` is the revision of the record written, 0 if the store rejected the
   // write, or nullopt if it did not answer.
