One function finds a free loopback address for the tests

HttpServerTest had written FreeAddress of ProxyDaemon.h a second time, line for line. The function has a header of its own now, which both include, as ProxyDaemon.h would bring the whole proxy with it.

--- a/test/platform/HttpServerTest.cpp
+++ b/test/platform/HttpServerTest.cpp
@@ -1,5 +1,6 @@
 #include "HttpServer.h"
 #include "HttpClient.h"
+#include "proxy/FreeAddress.h"
 
 #include <boost/asio/write.hpp>
 
@@ -46,13 +47,6 @@
   CPPUNIT_TEST(WaitsWhileThereIsNoDescriptor);
   CPPUNIT_TEST_SUITE_END();
 
-  static std::string FreeLoopbackAddress()
-  {
-    boost::asio::io_context io;
-    tcp::acceptor acceptor(io, { boost::asio::ip::address_v4::loopback(), 0 });
-    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-  }
-
   static void RunFor(proxy::Loop& aLoop, Duration aTime)
   {
     proxy::Timer timer(aLoop);
@@ -72,7 +66,7 @@
   void WaitsWhileThereIsNoDescriptor()
   {
     proxy::Loop loop;
-    auto address = FreeLoopbackAddress();
+    auto address = test::FreeAddress();
     auto server = std::make_shared<HttpServer>(loop, [](const std::string&) {
       return HttpServerResponse{ 200, "ready" };
     });
--- a/test/proxy/ProxyDaemon.h
+++ b/test/proxy/ProxyDaemon.h
@@ -1,12 +1,11 @@
 #pragma once
 
 #include "FakeDatabases.h"
+#include "FreeAddress.h"
 #include "peer/CapnpPeers.h"
 #include "proxy/Proxy.h"
 #include "sesameway/StoreRevision.h"
 
-#include <boost/asio/ip/tcp.hpp>
-
 #include <functional>
 #include <future>
 #include <map>
@@ -280,12 +279,4 @@
   std::thread mThread;
 };
 
-inline std::string FreeAddress()
-{
-  boost::asio::io_context io;
-  boost::asio::ip::tcp::acceptor acceptor(
-    io, { boost::asio::ip::address_v4::loopback(), 0 });
-  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-}
-
 } // namespace sesameway::test
