One type for an object of the store

platform::Object, peer::CatalogueChange and StoredObject held the same fields, and four functions copied one into another. Cause: each package had a type of its own before the core had one. The two others are removed or are names for StoredObject. Behaviour is unchanged; the tests of store, peers and catalogue cover the paths.

--- a/src/daemon/CatalogueSync.cpp
+++ b/src/daemon/CatalogueSync.cpp
@@ -15,21 +15,6 @@
 constexpr Duration kNotifyTimeout = milliseconds(500);
 constexpr Duration kTickInterval = milliseconds(100);
 
-StoredObject ToStored(const platform::Object& aFrom)
-{
-  return { aFrom.mName, aFrom.mVersion, aFrom.mRevision, aFrom.mBody, aFrom.mDeleted };
-}
-
-StoredObject ToStored(const peer::CatalogueChange& aFrom)
-{
-  return { aFrom.mName, aFrom.mVersion, aFrom.mRevision, aFrom.mBody, aFrom.mDeleted };
-}
-
-peer::CatalogueChange ToChange(const StoredObject& aFrom)
-{
-  return { aFrom.mName, aFrom.mVersion, aFrom.mRevision, aFrom.mBody, aFrom.mDeleted };
-}
-
 bool IsLease(const std::string& aName)
 {
   return aName.starts_with(kReaderPrefix);
@@ -119,11 +104,9 @@
       auto now = Clock::now();
       delta.mRevision = mTable.Revision();
       delta.mContactAge = now - mDistribution.Contact();
-      for (const auto& it : mTable.ChangesSince(aQuery.mRevision)) {
-        delta.mChanges.push_back(ToChange(it));
-      }
+      delta.mChanges = mTable.ChangesSince(aQuery.mRevision);
       if (mDistribution.Lease().mVersion > 0) {
-        delta.mChanges.push_back(ToChange(mDistribution.Lease()));
+        delta.mChanges.push_back(mDistribution.Lease());
       }
       if (mMembersHash != 0 && mMembersHash != aQuery.mMembersHash) {
         delta.mMembers = mMembers;
@@ -256,7 +239,7 @@
   std::vector<StoredObject> entries;
   std::vector<StoredObject> leases;
   for (const auto& it : aListing.mObjects) {
-    (IsLease(it.mName) ? leases : entries).push_back(ToStored(it));
+    (IsLease(it.mName) ? leases : entries).push_back(it);
   }
   bool isChanged = false;
   Step([&](CatalogueDistribution& aDistribution, TimePoint aNow) {
@@ -303,9 +286,9 @@
     if (!aObject) {
       aDistribution.OnWatchEnded(FailureOf(now - kTickInterval));
     } else if (IsLease(aObject->mName)) {
-      aDistribution.OnLease(aNow, ToStored(*aObject), true);
+      aDistribution.OnLease(aNow, *aObject, true);
     } else {
-      isChanged = mTable.Apply(ToStored(*aObject));
+      isChanged = mTable.Apply(*aObject);
     }
   });
   if (isChanged) {
@@ -331,7 +314,7 @@
       return;
     }
     self->Step([&](CatalogueDistribution& aDistribution, TimePoint aNow) {
-      aDistribution.OnLeaseRead(aNow, ToStored(*aObject));
+      aDistribution.OnLeaseRead(aNow, *aObject);
     });
   };
   mPlatform->Get(aAction.mName, sent + kStoreTimeout, onGet);
@@ -347,7 +330,7 @@
       return;
     }
     self->Step([&](CatalogueDistribution& aDistribution, TimePoint aNow) {
-      aDistribution.OnPut(sent, aNow, aResult->mApplied, ToStored(aResult->mObject));
+      aDistribution.OnPut(sent, aNow, aResult->mApplied, aResult->mObject);
     });
   };
   mPlatform->Put(aAction.mName,
@@ -438,9 +421,9 @@
     std::vector<StoredObject> entries;
     for (const auto& it : aDelta->mChanges) {
       if (IsLease(it.mName)) {
-        aDistribution.OnLease(aNow, ToStored(it), false);
+        aDistribution.OnLease(aNow, it, false);
       } else {
-        entries.push_back(ToStored(it));
+        entries.push_back(it);
       }
     }
     isChanged = mTable.ApplyDelta(aBase, aDelta->mRevision, entries);
--- a/src/peer/Peer.h
+++ b/src/peer/Peer.h
@@ -26,16 +26,6 @@
   bool operator==(const Member&) const = default;
 };
 
-// The current state of a catalogue object that has changed.
-struct CatalogueChange
-{
-  std::string mName;
-  std::uint64_t mVersion = 0;
-  std::uint64_t mRevision = 0;
-  std::string mBody;
-  bool mDeleted = false;
-};
-
 // A request for the changes that the requesting daemon does not have yet.
 struct CatalogueQuery
 {
@@ -76,7 +66,8 @@
   // Time since the sending daemon last knew, from the store or from a peer, that this
   // revision was the newest.
   Duration mContactAge{};
-  std::vector<CatalogueChange> mChanges;
+  // The current state of each object that has changed.
+  std::vector<StoredObject> mChanges;
   std::optional<ObjectPiece> mPiece;
   // The kinds of which changes were left out, because the answer is limited in size.
   std::vector<std::string> mIncompleteKinds;
--- a/src/platform/Platform.h
+++ b/src/platform/Platform.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "sesameway/CatalogueTable.h"
 #include "sesameway/Time.h"
 
 #include <cstdint>
@@ -11,14 +12,7 @@
 
 namespace sesameway::platform {
 
-struct Object
-{
-  std::string mName;
-  std::uint64_t mVersion = 0;
-  std::uint64_t mRevision = 0;
-  std::string mBody;
-  bool mDeleted = false;
-};
+using Object = StoredObject;
 
 struct Listing
 {
--- a/src/proxy/PeerPulls.cpp
+++ b/src/proxy/PeerPulls.cpp
@@ -45,13 +45,14 @@
                    std::optional<peer::CatalogueDelta> aDelta) {
     mLoop.Post(
       [this, aAddress, aDone, askedAt, pull, delta = std::move(aDelta)]() mutable {
+        bool isServing = delta && delta->mIsServing;
         bool isMore = false;
         if (delta) {
-          isMore = Apply(aAddress, *delta, askedAt, pull);
+          isMore = Apply(aAddress, std::move(*delta), askedAt, pull);
         } else {
           LogFailure(aAddress, askedAt);
         }
-        aDone(delta && delta->mIsServing);
+        aDone(isServing);
         if (isMore) {
           Ask(aAddress, std::move(pull), aDone);
         } else {
@@ -63,7 +64,7 @@
 }
 
 bool PeerPulls::Apply(const std::string& aAddress,
-                      const peer::CatalogueDelta& aDelta,
+                      peer::CatalogueDelta aDelta,
                       TimePoint aAskedAt,
                       ChangePull& aPull)
 {
@@ -72,11 +73,10 @@
   }
   // An answer that brings nothing new does not lead to the next call: two peers that
   // are asked at the same time would otherwise both send everything.
-  bool isNew = !aDelta.mChanges.empty();
-  std::vector<StoredObject> objects;
+  auto& objects = aDelta.mChanges;
+  bool isNew = !objects.empty();
   std::size_t bytes = 0;
-  for (const auto& it : aDelta.mChanges) {
-    objects.push_back({ it.mName, it.mVersion, it.mRevision, it.mBody, it.mDeleted });
+  for (const auto& it : objects) {
     bytes += it.mBody.size();
   }
   if (aDelta.mPiece) {
--- a/src/proxy/PeerPulls.h
+++ b/src/proxy/PeerPulls.h
@@ -34,7 +34,7 @@
   void Ask(const std::string& aAddress, ChangePull aPull, const Done& aDone);
   // Applies an answer. Returns whether the peer is to be asked again at once.
   bool Apply(const std::string& aAddress,
-             const peer::CatalogueDelta& aDelta,
+             peer::CatalogueDelta aDelta,
              TimePoint aAskedAt,
              ChangePull& aPull);
   // Adds a piece of an object, and the object to `aObjects` if it is complete. Returns
--- a/src/proxy/ProxyPeers.cpp
+++ b/src/proxy/ProxyPeers.cpp
@@ -117,10 +117,7 @@
   delta.mKindRevisions = std::move(batch.mRevisions);
   delta.mIsServing = delta.mRevision != 0;
   delta.mContactAge = Clock::now() - contact;
-  for (auto& it : batch.mObjects) {
-    delta.mChanges.push_back(
-      { it.mName, it.mVersion, it.mRevision, std::move(it.mBody), it.mDeleted });
-  }
+  delta.mChanges = std::move(batch.mObjects);
   delta.mPiece = std::move(batch.mPiece);
   delta.mIncompleteKinds = std::move(batch.mIncompleteKinds);
   auto now = Clock::now();
--- a/src/proxy/StoreSync.cpp
+++ b/src/proxy/StoreSync.cpp
@@ -16,23 +16,6 @@
 constexpr Duration kRetryFloor = milliseconds(150);
 constexpr Duration kRetryLimit = milliseconds(800);
 
-StoredObject ToStored(const platform::Object& aObject)
-{
-  return {
-    aObject.mName, aObject.mVersion, aObject.mRevision, aObject.mBody, aObject.mDeleted
-  };
-}
-
-std::vector<StoredObject> ToStored(const std::vector<platform::Object>& aObjects)
-{
-  std::vector<StoredObject> stored;
-  stored.reserve(aObjects.size());
-  for (const auto& it : aObjects) {
-    stored.push_back(ToStored(it));
-  }
-  return stored;
-}
-
 } // namespace
 
 StoreSync::StoreSync(Loop& aLoop, platform::ChangeFeed& aFeed, std::vector<Kind> aKinds)
@@ -89,7 +72,7 @@
 void StoreSync::Apply(const std::optional<platform::PutResult>& aResult)
 {
   if (aResult && aResult->mObject.mRevision != 0) {
-    ApplyAll({ ToStored(aResult->mObject) });
+    ApplyAll({ aResult->mObject });
   }
 }
 
@@ -160,9 +143,8 @@
                    std::vector<StoredObject> changed;
                    {
                      std::lock_guard lock(mMutex);
-                     changed = mTable.ApplyListing(aState.mKind.mName,
-                                                   ToStored(aListing->mObjects),
-                                                   aListing->mRevision);
+                     changed = mTable.ApplyListing(
+                       aState.mKind.mName, aListing->mObjects, aListing->mRevision);
                    }
                    for (const auto& it : changed) {
                      mListener.mOnChange(it);
@@ -196,7 +178,7 @@
         List(aState);
         return;
       }
-      auto objects = ToStored(aChanges->mObjects);
+      auto& objects = aChanges->mObjects;
       RaiseRemovalRevisions(objects, aChanges->mRevision);
       ApplyAll(objects);
       OnSuccess(aState, aChanges->mRevision, sentAt);
