Types that a queue before a database needs

StatementTerms say how urgent a statement is and what it costs; a reply may say when a statement that was not sent is to be tried again; the state of a shared connection can be read and built, so that another daemon may go on with it; a route has a latency target, which the catalogue did not hold although the configuration does. No behaviour changes yet.

--- a/include/sesameway/Catalogue.h
+++ b/include/sesameway/Catalogue.h
@@ -69,6 +69,8 @@
   std::uint64_t mStatementTimeoutUs = 0;
   // Statements with a lower number are served first when connections are scarce.
   std::uint32_t mPriority = 0;
+  // Latency target of an operation in microseconds; 0 means that the route sets none.
+  std::uint64_t mGoalUs = 0;
 };
 
 // Snapshot of all entries in force; immutable once published.
--- a/include/sesameway/SharedConnection.h
+++ b/include/sesameway/SharedConnection.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "sesameway/NameTable.h"
+#include "sesameway/Time.h"
 #include "sesameway/Token.h"
 
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace sesameway {
@@ -146,6 +148,9 @@
   TransactionState mTransaction = TransactionState::None;
   // The end of the database's log after the statement, if the database reports it.
   std::optional<LogPosition> mPosition;
+  // Set if the statement was refused before it was sent to the database: when to try
+  // again.
+  std::optional<TimePoint> mRetryAt;
 };
 
 // A prepared statement, identified by its content rather than its name.
@@ -154,6 +159,11 @@
   bool mIsWrite = false;
   std::string mShape;
   bool operator==(const PreparedStatement&) const = default;
+  // A defaulted operator<=> is read as a comparison with 0 by the linter.
+  bool operator<(const PreparedStatement& aOther) const
+  {
+    return std::tie(mIsWrite, mShape) < std::tie(aOther.mIsWrite, aOther.mShape);
+  }
 };
 
 using SessionValues = std::map<std::string, std::string>;
@@ -163,6 +173,13 @@
 class SharedConnectionState
 {
 public:
+  // Names of prepared statements on the connection.
+  using PreparedNames = std::map<PreparedStatement, std::string>;
+
+  SharedConnectionState() = default;
+  // The state of a connection that another daemon has used.
+  SharedConnectionState(SessionValues aValues, PreparedNames aPrepared);
+
   // Returns the commands that replace the connection's values by the session's. The new
   // values are recorded at once, so a connection on which one of the commands fails
   // must be closed.
@@ -177,14 +194,19 @@
   // Estimates how many commands SyncValues would return, to choose among connections. A
   // reset counts as many commands.
   std::size_t SyncCost(const SessionValues& aValues) const;
+  // What is set on the connection is no longer known, so the next SyncValues resets it.
+  void SetUnknown() { mIsUnknown = true; }
+  bool IsUnknown() const { return mIsUnknown; }
+  const SessionValues& Values() const { return mValues; }
+  const PreparedNames& Prepared() const { return mPrepared; }
 
 private:
   bool HasExtraValue(const SessionValues& aValues) const;
 
   SessionValues mValues;
-  // Statement names by whether the statement writes and by its shape.
-  std::map<std::pair<bool, std::string>, std::string> mPrepared;
+  PreparedNames mPrepared;
   std::uint64_t mNextName = 1;
+  bool mIsUnknown = false;
 };
 
 } // namespace sesameway
--- a/src/core/SharedConnection.cpp
+++ b/src/core/SharedConnection.cpp
@@ -1,6 +1,8 @@
 #include "sesameway/SharedConnection.h"
 
 #include <algorithm>
+#include <charconv>
+#include <utility>
 
 namespace sesameway {
 
@@ -11,13 +13,29 @@
 
 } // namespace
 
+// Names are a letter and a number; those that this daemon adds follow the highest one.
+SharedConnectionState::SharedConnectionState(SessionValues aValues,
+                                             PreparedNames aPrepared)
+  : mValues(std::move(aValues))
+  , mPrepared(std::move(aPrepared))
+{
+  for (const auto& it : mPrepared) {
+    std::uint64_t number = 0;
+    const auto& name = it.second;
+    if (!name.empty()) {
+      std::from_chars(name.data() + 1, name.data() + name.size(), number);
+    }
+    mNextName = std::max(mNextName, number + 1);
+  }
+}
+
 // A single value cannot be unset, so a connection with a value that the session has not
 // set is reset, which also drops its prepared statements.
 std::vector<ConnectionCommand> SharedConnectionState::SyncValues(
   const SessionValues& aValues)
 {
   std::vector<ConnectionCommand> commands;
-  if (HasExtraValue(aValues)) {
+  if (std::exchange(mIsUnknown, false) || HasExtraValue(aValues)) {
     ConnectionCommand reset;
     reset.mKind = CommandKind::Reset;
     commands.push_back(std::move(reset));
@@ -42,7 +60,7 @@
 std::string SharedConnectionState::NameOf(const PreparedStatement& aStatement,
                                           std::vector<ConnectionCommand>& aCommands)
 {
-  auto& name = mPrepared[{ aStatement.mIsWrite, aStatement.mShape }];
+  auto& name = mPrepared[aStatement];
   if (!name.empty()) {
     return name;
   }
@@ -59,12 +77,12 @@
 
 void SharedConnectionState::Forget(const PreparedStatement& aStatement)
 {
-  mPrepared.erase({ aStatement.mIsWrite, aStatement.mShape });
+  mPrepared.erase(aStatement);
 }
 
 std::size_t SharedConnectionState::SyncCost(const SessionValues& aValues) const
 {
-  if (HasExtraValue(aValues)) {
+  if (mIsUnknown || HasExtraValue(aValues)) {
     return kResetDistance + aValues.size();
   }
   return aValues.size() - std::count_if(mValues.begin(), mValues.end(), [&](auto& aIt) {
--- a/src/proxy/Transport.h
+++ b/src/proxy/Transport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "sesameway/SharedConnection.h"
+#include "sesameway/StatementTerms.h"
 #include "sesameway/Time.h"
 
 #include <functional>
@@ -23,6 +24,14 @@
   // passed together and in order. Replies that had not arrived when the connection
   // broke are Lost.
   virtual void Send(std::vector<ConnectionCommand> aCommands, Replies aDone) = 0;
+  // Says how urgent the batches that follow are. A connection without a queue before
+  // the database ignores it.
+  virtual void SetTerms(const StatementTerms&) {}
+  // What was set and prepared on the connection before this daemon got it.
+  virtual SharedConnectionState InitialState() const { return {}; }
+  // Gives the connection up in a clean state, with what is set and prepared on it, so
+  // that its owner may use it again.
+  virtual void Return(const SharedConnectionState&) { Close(); }
   // Closes the connection, upon which the database rolls back an open transaction. A
   // batch in progress ends with Lost; the OnBroken callback is not called.
   virtual void Close() = 0;
