Pools that borrow connections from a database's homes

Change: where a database accepts fewer than two connections per daemon, the fleet gives each pool a role: the first home holds connections and queues statements for the slots (DatabaseQueue), the others borrow (LinkBorrower, LinkLender). ConnectionPlan may give idle connections back at once.

--- a/include/sesameway/ConnectionPlan.h
+++ b/include/sesameway/ConnectionPlan.h
@@ -39,6 +39,8 @@
   {
     std::uint64_t mConnection = 0;
     std::string mOrganisation;
+    // The request for which it is opened. Another one of the organisation may get it.
+    std::uint64_t mTicket = 0;
   };
   struct Close
   {
@@ -53,8 +55,10 @@
   using Action = std::variant<Grant, Open, Close, Refuse>;
   using Actions = std::vector<Action>;
 
-  explicit ConnectionPlan(std::size_t aLimit)
+  // Connections that belong to another daemon are not kept while they are idle.
+  explicit ConnectionPlan(std::size_t aLimit, bool aKeepsIdle = true)
     : mLimit(aLimit)
+    , mKeepsIdle(aKeepsIdle)
   {
   }
 
@@ -128,6 +132,7 @@
   void CloseIdle(TimePoint aNow, Actions& aActions);
 
   std::size_t mLimit;
+  bool mKeepsIdle;
   std::uint64_t mNextConnection = 1;
   std::map<std::uint64_t, Connection> mConnections;
   // Waiting requests by priority, then in order of arrival.
--- a/src/core/ConnectionPlan.cpp
+++ b/src/core/ConnectionPlan.cpp
@@ -152,13 +152,13 @@
 
 void ConnectionPlan::CloseIdle(TimePoint aNow, Actions& aActions)
 {
-  if (mLimit > kScarceConnections) {
+  if (mKeepsIdle && mLimit > kScarceConnections) {
     return;
   }
+  auto limit = mKeepsIdle ? kScarceIdleLimit : Duration::zero();
   std::erase_if(mConnections, [&](const auto& aIt) {
     const auto& connection = aIt.second;
-    bool isOver =
-      connection.mState == State::Idle && aNow - connection.mSince >= kScarceIdleLimit;
+    bool isOver = connection.mState == State::Idle && aNow - connection.mSince >= limit;
     if (isOver) {
       aActions.push_back(Close{ aIt.first });
     }
@@ -238,6 +238,9 @@
     }
     it = next;
   }
+  if (!mKeepsIdle) {
+    CloseIdle(aNow, aActions);
+  }
 }
 
 void ConnectionPlan::GrantMatching(TimePoint aNow, Actions& aActions)
@@ -258,7 +261,7 @@
                              Actions& aActions)
 {
   const auto& organisation = aWaiter.mRequest.mOrganisation;
-  bool canShare = organisation.empty() && !mConnections.empty();
+  bool canShare = mKeepsIdle && organisation.empty() && !mConnections.empty();
   if (mNextOpenAt > aNow || canShare) {
     return;
   }
@@ -276,7 +279,7 @@
   }
   auto id = mNextConnection++;
   mConnections[id] = { organisation, State::Opening, aNow };
-  aActions.push_back(Open{ id, organisation });
+  aActions.push_back(Open{ id, organisation, aWaiter.mRequest.mTicket });
 }
 
 void ConnectionPlan::GrantTo(Waiters::iterator aWaiter,
--- a/src/proxy/Backend.h
+++ b/src/proxy/Backend.h
@@ -38,6 +38,8 @@
   std::uint32_t mPriority = 0;
   // When waiting for the connection ends.
   TimePoint mDeadline;
+  // What the first statement on the connection needs.
+  StatementTerms mTerms{};
   bool mNeedsPrimary = false;
   // Reads must see everything that was acknowledged before mFreshSince, and the log up
   // to mToken.
@@ -56,6 +58,9 @@
   ReplyCode mCode = ReplyCode::Busy;
   std::string mReason;
   TimePoint mRetryAt;
+  // Whether the database can't serve the request in time, so that waiting for it is of
+  // no use.
+  bool mIsOverload = false;
 };
 using LeaseCallback = std::function<void(tl::expected<LeasePtr, Refusal>)>;
 
--- a/src/proxy/CallerOutcome.cpp
+++ b/src/proxy/CallerOutcome.cpp
@@ -34,6 +34,10 @@
     OnDone(std::move(aReply));
     return;
   }
+  if (aReply.mRetryAt) {
+    OnOverload(aReply);
+    return;
+  }
   if (IsNotRun(aReply.mCode)) {
     OnNotRun(std::move(aReply));
     return;
@@ -159,6 +163,27 @@
   Answer(std::move(aReply));
 }
 
+// A read may be served by another database of the group. Other statements are refused
+// at once with the time at which the queue may have room.
+void CallerRun::OnOverload(const ConnectionReply& aReply)
+{
+  auto& attempt = *mAttempt;
+  auto reason = aReply.mDetail + " at " + mLease->mDatabase;
+  attempt.mAvoid.insert(mLease->mDatabase);
+  if (mTransaction == TransactionState::Open) {
+    RollBack();
+  } else {
+    ReleaseLease(false);
+  }
+  if (MayRunAgain() && attempt.mSends < kQuickRetries && MayRetry()) {
+    attempt.mCause = reason;
+    mHasBegun = false;
+    Acquire();
+    return;
+  }
+  Fail(ReplyCode::Busy, RetryText(reason, *aReply.mRetryAt, mEnvironment.Now()));
+}
+
 void CallerRun::OnNotRun(ConnectionReply aReply)
 {
   auto& attempt = *mAttempt;
--- a/src/proxy/CallerRun.h
+++ b/src/proxy/CallerRun.h
@@ -105,6 +105,10 @@
   void OnDone(ConnectionReply aReply);
   void Deliver(ConnectionReply aReply);
   void NotePossibleEffect();
+  // The current statement as seen by a queue before the database.
+  StatementTerms Terms() const;
+  // The database's queue refused the statement, which was not sent.
+  void OnOverload(const ConnectionReply& aReply);
   void OnUnconfirmed();
   void OnPrimaryReplaced();
   void OnNotRun(ConnectionReply aReply);
--- a/src/proxy/CallerSend.cpp
+++ b/src/proxy/CallerSend.cpp
@@ -27,6 +27,7 @@
   request.mOrganisation = mOrganisation;
   request.mPriority = mRoute->mPriority;
   request.mDeadline = attempt.mDeadline;
+  request.mTerms = Terms();
   request.mNeedsPrimary = attempt.mNeedsPrimary;
   request.mFreshSince = FreshSince(attempt);
   if (mTokenGroup == request.mGroup) {
@@ -81,6 +82,27 @@
   Send();
 }
 
+// The statements of a transaction that has results go first: they hold a connection,
+// and a refusal would lose the results. The latency target holds for the whole
+// operation.
+StatementTerms CallerRun::Terms() const
+{
+  const auto& attempt = *mAttempt;
+  bool isInTransaction = mTransaction == TransactionState::Open;
+  StatementTerms terms;
+  terms.mPriority = mRoute->mPriority;
+  if (mRoute->mGoalUs > 0) {
+    auto since = isInTransaction ? mBegunAt : attempt.mReceivedAt;
+    terms.mGoalAt = since + Duration(microseconds(mRoute->mGoalUs));
+  }
+  terms.mDeadline = attempt.mDeadline;
+  terms.mIsInTransaction = isInTransaction && mHasAnswered;
+  terms.mOrganisation = mOrganisation;
+  terms.mCostClass = mRouteName + ' ';
+  terms.mCostClass += kCommandKindNames.Name(attempt.mCommand);
+  return terms;
+}
+
 TimePoint CallerRun::FreshSince(const Attempt& aAttempt) const
 {
   bool isInTransaction = mTransaction == TransactionState::Open;
@@ -167,6 +189,7 @@
 {
   mIsSending = true;
   mBackend.OnSent(*mLease);
+  mLease->mLink->SetTerms(Terms());
   if (MayRunAgain()) {
     WatchForNoResponse();
   }
@@ -189,6 +212,10 @@
     return aIt.mCode == ReplyCode::Done;
   });
   mBackend.OnReply(*mLease, reply, mAttempt ? mAttempt->mSentAt : TimePoint{});
+  if (reply.mRetryAt) {
+    // Nothing of the batch was sent, also no value of the session.
+    mLease->mConnectionState->SetUnknown();
+  }
   if (!isSetUp) {
     // The connection lacks some session values or prepared statements, so that the
     // statement may have run wrongly.
--- a/src/proxy/DatabaseFleet.cpp
+++ b/src/proxy/DatabaseFleet.cpp
@@ -8,22 +8,34 @@
 
 namespace {
 
-// Connections of each database that are reserved for status commands and for short
-// periods in which the database still counts a connection that was already closed.
-constexpr std::size_t kReservedConnections = 2;
+// Connections of each database that are kept free, where all daemons connect to it, for
+// status commands and for short periods in which the database still counts a connection
+// that was already closed.
+constexpr std::size_t kDirectReserve = 2;
 // A database that has left statements unanswered for this long may be gone. This is ten
 // times the duration of a typical statement.
 constexpr Duration kUnresponsiveAfter = milliseconds(400);
+// How long a borrower may leave a lent connection unused. Sessions end their idle
+// transactions sooner; this bound is for borrowers that are suspended or cut off.
+constexpr Duration kLentIdleLimit = seconds(30);
 
 } // namespace
 
 DatabaseFleet::DatabaseFleet(Loop& aLoop,
                              DatabaseConnector& aDatabases,
                              const Settings& aSettings,
-                             StatusReader aReadStatus)
+                             StatusReader aReadStatus,
+                             LinkBorrower::Counter aCount)
   : mLoop(aLoop)
   , mDatabases(aDatabases)
   , mReadStatus(std::move(aReadStatus))
+  , mCount(std::move(aCount))
+  , mBorrower(aLoop, aDatabases, mCount)
+  , mLender(
+      aLoop,
+      [this](const std::string& aName) { return FindHomePool(aName); },
+      mCount)
+  , mName(aSettings.mName)
   , mZone(aSettings.mZone)
   , mRegions(aSettings.mRegions)
 {
@@ -32,17 +44,21 @@
 void DatabaseFleet::SetCatalogue(CataloguePtr aCatalogue)
 {
   mCatalogue = std::move(aCatalogue);
-  SetLimits();
+  AssignRoles();
 }
 
-void DatabaseFleet::SetDaemonZones(const std::vector<std::string>& aZones)
+void DatabaseFleet::SetDaemons(const std::vector<MemberRecord>& aDaemons)
 {
+  mHomeFleet = HomeFleet(aDaemons, mRegions);
   mDaemonsByZone.clear();
-  for (const auto& it : aZones) {
-    ++mDaemonsByZone[it];
+  std::map<std::string, std::string> addresses;
+  for (const auto& it : aDaemons) {
+    ++mDaemonsByZone[it.mZone];
+    addresses[it.mName] = it.mAddress;
   }
-  mDaemons = std::max<std::size_t>(1, aZones.size());
-  SetLimits();
+  mDaemons = std::max<std::size_t>(1, aDaemons.size());
+  mBorrower.SetAddresses(std::move(addresses));
+  AssignRoles();
 }
 
 void DatabaseFleet::OnListed(const ListedDatabase& aDatabase)
@@ -60,15 +76,10 @@
                  .With("zone", aDatabase.mZone)
                  .With("leaving", aDatabase.mIsLeaving)
                  .With("role", kDatabaseRoleNames.Name(aDatabase.mRole));
-  auto& pool = mPools[aDatabase.mName];
-  if (pool && isOther) {
-    Retire(std::exchange(pool, nullptr));
+  if (isOther) {
+    RemovePools(aDatabase.mName);
   }
-  if (!pool) {
-    pool = std::make_shared<DatabasePool>(mLoop, mDatabases, aDatabase);
-  }
-  pool->SetListed(aDatabase);
-  pool->SetLimit(LimitOf(aDatabase));
+  AssignRole(aDatabase);
   mGroups[aDatabase.mGroup];
   if (aDatabase.mIsLeaving) {
     WithdrawPlacements(aDatabase.mGroup);
@@ -95,7 +106,9 @@
   for (const auto& it : names) {
     if (mList.Find(it) == nullptr) {
       LOG(INFO) << daemon::LogLine("database_gone").With("database", it);
-      Retire(mPools.extract(it).mapped());
+      RemovePools(it);
+      mBorrower.Forget(it);
+      mHomeRoles.erase(it);
     }
   }
 }
@@ -111,6 +124,8 @@
   auto now = Clock::now();
   RemoveMissing(now);
   std::erase_if(mRetired, [](const auto& aIt) { return aIt->Leases().empty(); });
+  CheckPrimaries(now);
+  mLender.TakeBackIdle(kLentIdleLimit);
   for (auto& it : mGroups) {
     AskForHead(it.first, it.second, now);
   }
@@ -176,14 +191,22 @@
 TimePoint DatabaseFleet::HeardAt(const std::string& aDatabase) const
 {
   auto pool = FindPool(aDatabase);
-  return pool ? pool->HeardAt() : TimePoint{};
+  auto home = FindHomePool(aDatabase);
+  return std::max(pool ? pool->HeardAt() : TimePoint{},
+                  home ? home->HeardAt() : TimePoint{});
 }
 
+// A daemon that uses the database through its homes can't tell a silent home from a
+// silent database, so it reports nothing.
 std::optional<Duration> DatabaseFleet::Silence(const std::string& aDatabase,
                                                TimePoint aNow) const
 {
-  auto pool = FindPool(aDatabase);
-  return pool ? pool->Silence(aNow) : std::nullopt;
+  auto pool = FindHomePool(aDatabase);
+  if (!pool) {
+    pool = FindPool(aDatabase);
+  }
+  bool isKnown = pool && pool->Kind() != PoolKind::Borrowing;
+  return isKnown ? pool->Silence(aNow) : std::nullopt;
 }
 
 void DatabaseFleet::OnSent(const ConnectionLease& aLease)
@@ -195,15 +218,21 @@
 
 bool DatabaseFleet::IsUnresponsive(const ConnectionLease& aLease) const
 {
+  auto now = Clock::now();
   auto pool = aLease.mPool.lock();
-  auto silence = pool ? pool->Silence(Clock::now()) : std::nullopt;
-  return silence && *silence >= kUnresponsiveAfter;
+  auto silence = pool ? pool->Silence(now) : std::nullopt;
+  // A statement that waits in a queue is not unanswered.
+  auto wait = pool ? ExpectedWaitAt(*pool, {}, now) : Duration::zero();
+  return silence && *silence >= kUnresponsiveAfter + wait;
 }
 
 void DatabaseFleet::OnReply(const ConnectionLease& aLease,
                             const ConnectionReply& aReply,
                             TimePoint aSentAt)
 {
+  if (aReply.mRetryAt) {
+    return;
+  }
   if (auto pool = aLease.mPool.lock()) {
     pool->OnReply(aReply, aSentAt);
     pool->OnResult(aReply.mCode);
@@ -217,15 +246,20 @@
   return it == mPools.end() ? nullptr : it->second;
 }
 
+std::size_t DatabaseFleet::ConnectionsOf(const ListedDatabase& aDatabase) const
+{
+  const auto* group = mCatalogue ? mCatalogue->FindGroup(aDatabase.mGroup) : nullptr;
+  return group != nullptr ? group->mConnections : kDirectReserve + 1;
+}
+
 // Returns this daemon's part of the database's connection limit. All daemons together
 // stay within the limit unless there are more daemons than connections, as each daemon
 // gets at least one. Daemons in the database's availability zone, which prefer it for
 // reads, count twice, and also divide among themselves what rounding leaves over.
 std::size_t DatabaseFleet::LimitOf(const ListedDatabase& aDatabase) const
 {
-  const auto* group = mCatalogue ? mCatalogue->FindGroup(aDatabase.mGroup) : nullptr;
-  std::size_t cap = group != nullptr ? group->mConnections : kReservedConnections + 1;
-  cap = std::max<std::size_t>(cap, kReservedConnections + 1) - kReservedConnections;
+  auto cap = ConnectionsOf(aDatabase);
+  cap = std::max<std::size_t>(cap, kDirectReserve + 1) - kDirectReserve;
   auto it = mDaemonsByZone.find(aDatabase.mZone);
   auto near = it == mDaemonsByZone.end() ? 0 : it->second;
   auto far = std::max(mDaemons, near) - near;
@@ -236,11 +270,4 @@
   return std::max(share, (cap - std::min(cap, far * share)) / near);
 }
 
-void DatabaseFleet::SetLimits()
-{
-  for (const auto& it : mPools) {
-    it.second->SetLimit(LimitOf(it.second->Listed()));
-  }
-}
-
 } // namespace sesameway::proxy
--- a/src/proxy/DatabaseFleet.h
+++ b/src/proxy/DatabaseFleet.h
@@ -2,10 +2,14 @@
 
 #include "proxy/Backend.h"
 #include "proxy/DatabasePool.h"
+#include "proxy/LinkBorrower.h"
+#include "proxy/LinkLender.h"
 #include "proxy/Loop.h"
 #include "proxy/Settings.h"
 #include "sesameway/HeadPollSchedule.h"
+#include "sesameway/HomeRanking.h"
 #include "sesameway/Leadership.h"
+#include "sesameway/Membership.h"
 #include "sesameway/Promotion.h"
 #include "sesameway/ReplicaChoice.h"
 #include "sesameway/Routing.h"
@@ -20,20 +24,41 @@
 // All databases as this daemon sees them: which of them it may use and for what, and
 // its connection pools. Used on the event loop's thread only. FleetPlacement.cpp
 // decides which request gets a connection to which database, FleetPrimary.cpp handles
-// changes of primary, and FleetHeads.cpp tracks the log positions of primaries.
+// changes of primary, FleetHeads.cpp tracks the log positions of primaries, and
+// FleetHomes.cpp has the connections to databases that are used through their homes.
 class DatabaseFleet : public Backend
 {
 public:
   using StatusReader = std::function<std::optional<DatabaseReport>(const std::string&)>;
-  DatabaseFleet(Loop& aLoop,
-                DatabaseConnector& aDatabases,
-                const Settings& aSettings,
-                StatusReader aReadStatus);
+  DatabaseFleet(
+    Loop& aLoop,
+    DatabaseConnector& aDatabases,
+    const Settings& aSettings,
+    StatusReader aReadStatus,
+    LinkBorrower::Counter aCount = [](const std::string&) {});
 
   void SetCatalogue(CataloguePtr aCatalogue);
-  // Sets the availability zone of each daemon, including this one. Each database's
-  // connection limit is divided among them.
-  void SetDaemonZones(const std::vector<std::string>& aZones);
+  void SetPeers(peer::Peers* aPeers) { mBorrower.SetPeers(aPeers); }
+  // Sets the daemons of the fleet, including this one. Each database's connection limit
+  // is divided among them, or among the database's homes.
+  void SetDaemons(const std::vector<MemberRecord>& aDaemons);
+  // Lends a connection to a peer if this daemon is a home of the database.
+  void Lend(const peer::LinkRequest& aRequest,
+            const std::function<void(peer::LinkOffer)>& aDone)
+  {
+    mLender.Lend(aRequest, aDone);
+  }
+  // Lends no more connections. Those that are lent stay so until they are returned.
+  void StopLending() { mLender.Stop(); }
+  std::size_t LentCount() const { return mLender.LentCount(); }
+  // What waits and runs in the queues of the databases that this daemon is a home of.
+  struct HomeLoad
+  {
+    std::size_t mHomes = 0;
+    std::size_t mWaiting = 0;
+    std::size_t mRunning = 0;
+  };
+  HomeLoad Load() const;
   void OnListed(const ListedDatabase& aDatabase);
   void OnRemoved(const std::string& aName);
   void OnRecord(const GroupRecord& aRecord, std::uint64_t aRevision);
@@ -145,6 +170,10 @@
     // was the primary.
     bool mIsAtPrimary = false;
     std::uint64_t mChange = 0;
+    // Databases that can't serve the request in time, and the earliest time at which
+    // one of them may.
+    std::set<std::string> mOverloaded{};
+    TimePoint mRetryAt = TimePoint::max();
   };
 
   // Whether this daemon's information is recent enough to use the group's primary and
@@ -191,9 +220,29 @@
   void PlaceRead(std::uint64_t aTicket);
   void Refuse(std::uint64_t aTicket, const char* aReason, TimePoint aRetryAt);
   PoolPtr FindPool(const std::string& aName) const;
+  // The pool from which this daemon lends as a home of the database; null if it is
+  // none.
+  PoolPtr FindHomePool(const std::string& aName) const;
+  // Gives the database's pools the kind and limit that this daemon's role asks for.
+  void AssignRole(const ListedDatabase& aDatabase);
+  void AssignRoles();
+  HomePlan PlanFor(const ListedDatabase& aDatabase) const;
+  std::size_t ConnectionsOf(const ListedDatabase& aDatabase) const;
+  // Adapts a home's pools to the daemon's new rank among the homes, or to none.
+  void MovePools(PoolPtr& aPool, PoolPtr& aHome, bool aIsHome, bool aIsFirst);
+  // Replaces the pool unless it is of this kind.
+  void SetPoolKind(PoolPtr& aPool, const ListedDatabase& aDatabase, PoolKind aKind);
+  void RemovePools(const std::string& aName);
+  void NoteHomeRole(const std::string& aDatabase, HomeRole aRole);
+  // As second home of primaries, asks them for their status, so that a fault of the
+  // first home is told from a fault of the database.
+  void CheckPrimaries(TimePoint aNow);
+  Duration ExpectedWaitAt(const DatabasePool& aPool,
+                          const StatementTerms& aTerms,
+                          TimePoint aNow) const;
+  void OnOverload(std::uint64_t aTicket, TimePoint aRetryAt);
   Duration LatencyTo(const std::string& aZone) const;
   std::size_t LimitOf(const ListedDatabase& aDatabase) const;
-  void SetLimits();
   // Retires the pools of databases that have been missing from the store for too long.
   void RemoveMissing(TimePoint aNow);
   void Retire(PoolPtr aPool);
@@ -206,13 +255,24 @@
   Loop& mLoop;
   DatabaseConnector& mDatabases;
   StatusReader mReadStatus;
+  LinkBorrower::Counter mCount;
+  LinkBorrower mBorrower;
+  LinkLender mLender;
+  std::string mName;
   std::string mZone;
   std::map<std::string, std::string> mRegions;
   CataloguePtr mCatalogue;
+  HomeFleet mHomeFleet;
   std::map<std::string, std::size_t> mDaemonsByZone;
   std::size_t mDaemons = 1;
   DatabaseList mList;
+  // The pools from which this daemon's sessions get their connections.
   std::map<std::string, PoolPtr> mPools;
+  // The pools of databases that this daemon is a home of. At the first home it is the
+  // same pool as above; sessions of the second home go through the first one's queue.
+  std::map<std::string, PoolPtr> mHomePools;
+  std::map<std::string, HomeRole> mHomeRoles;
+  TimePoint mNextPrimaryCheckAt{};
   // Pools of removed or replaced databases, kept while their connections are in use.
   std::vector<PoolPtr> mRetired;
   std::map<std::string, Group> mGroups;
--- a/src/proxy/DatabasePool.cpp
+++ b/src/proxy/DatabasePool.cpp
@@ -2,6 +2,8 @@
 
 #include "daemon/Log.h"
 
+#include <algorithm>
+
 namespace sesameway::proxy {
 
 namespace {
@@ -24,24 +26,71 @@
 // Stands for the organisation on a connection that is opened for status commands.
 const std::string kOwnOrganisation = "-";
 
+// Status commands are short, and what they report decides where statements go, so they
+// wait behind no statement.
+StatementTerms OwnTerms(TimePoint aDeadline)
+{
+  StatementTerms terms;
+  terms.mDeadline = aDeadline;
+  terms.mIsInTransaction = true;
+  terms.mCostClass = "status";
+  return terms;
+}
+
 } // namespace
 
 DatabasePool::DatabasePool(Loop& aLoop,
                            DatabaseConnector& aDatabases,
-                           ListedDatabase aListed)
+                           ListedDatabase aListed,
+                           PoolKind aKind,
+                           DatabaseQueue::Counter aCount)
   : mLoop(aLoop)
   , mDatabases(aDatabases)
   , mListed(std::move(aListed))
-  , mPlan(1)
+  , mKind(aKind)
+  , mPlan(1, aKind != PoolKind::Borrowing)
   , mTick(aLoop)
 {
+  if (mKind == PoolKind::Home) {
+    mQueue = std::make_shared<DatabaseQueue>(
+      aLoop, mListed.mName, mListed.mSlots, std::move(aCount));
+  }
 }
 
 // Connections to a former process of the database break by themselves, so they need no
 // action here.
 void DatabasePool::SetListed(const ListedDatabase& aListed)
 {
+  bool isRestarted = aListed.mStartedAtMs != mListed.mStartedAtMs;
   mListed = aListed;
+  if (mQueue && isRestarted) {
+    mQueue->Restart("database_restarted");
+  }
+}
+
+void DatabasePool::SetSlots(std::size_t aSlots)
+{
+  if (mQueue) {
+    mQueue->SetSlots(aSlots);
+  }
+}
+
+void DatabasePool::SetStartRate(std::optional<double> aPerSecond)
+{
+  if (mQueue) {
+    mQueue->SetStartRate(aPerSecond);
+  }
+}
+
+Duration DatabasePool::ExpectedWait(const StatementTerms& aTerms) const
+{
+  auto wait = mPlan.ExpectedWait(aTerms.mOrganisation);
+  return mQueue ? std::max(wait, mQueue->ExpectedWait(aTerms)) : wait;
+}
+
+std::optional<TimePoint> DatabasePool::RefusedUntil(const StatementTerms& aTerms) const
+{
+  return mQueue ? mQueue->RefusedUntil(aTerms) : std::nullopt;
 }
 
 void DatabasePool::SetLimit(std::size_t aLimit)
@@ -53,7 +102,7 @@
                            const LeaseRequest& aRequest,
                            GrantCallback aDone)
 {
-  mWaiting[aTicket] = std::move(aDone);
+  mWaiting[aTicket] = { std::move(aDone), aRequest.mTerms };
   auto now = Clock::now();
   Execute(mPlan.Add(
     { aTicket, aRequest.mOrganisation, aRequest.mPriority, aRequest.mDeadline }, now));
@@ -72,7 +121,11 @@
   auto now = Clock::now();
   if (aIsBroken || mIsRetired) {
     mConnections.erase(id);
-    aLease->mLink->Close();
+    if (aIsBroken) {
+      aLease->mLink->Close();
+    } else {
+      aLease->mLink->Return(*aLease->mConnectionState);
+    }
     Execute(mPlan.OnGone(id, now));
     return;
   }
@@ -100,7 +153,7 @@
 
 void DatabasePool::OnReply(const ConnectionReply& aReply, TimePoint aSentAt)
 {
-  if (aReply.mCode == ReplyCode::Lost) {
+  if (aReply.mCode == ReplyCode::Lost || aReply.mRetryAt) {
     return;
   }
   OnAnswered(aSentAt);
@@ -125,6 +178,9 @@
                    .With("database", mListed.mName)
                    .With("group", mListed.mGroup)
                    .With("last", kReplyCodeNames.Name(aCode));
+    if (mQueue) {
+      mQueue->Restart("ejected");
+    }
   }
 }
 
@@ -178,7 +234,7 @@
     Execute(mPlan.OnGone(aGrant.mConnection, Clock::now()));
     return;
   }
-  node.mapped()(MakeLease(aGrant.mConnection));
+  node.mapped().mDone(MakeLease(aGrant.mConnection));
 }
 
 void DatabasePool::Execute(const ConnectionPlan::Open& aOpen)
@@ -187,41 +243,68 @@
   OnSent(now);
   const auto& organisation =
     aOpen.mOrganisation.empty() ? kOwnOrganisation : aOpen.mOrganisation;
-  LinkTarget target{ mListed.mAddress, mListed.mGroup, organisation, mListed.mName };
+  auto waiter = mWaiting.find(aOpen.mTicket);
+  auto terms = waiter == mWaiting.end() ? StatementTerms{} : waiter->second.mTerms;
+  LinkTarget target{
+    mListed.mAddress, mListed.mGroup, organisation, mListed.mName, std::move(terms)
+  };
+  if (mQueue) {
+    mQueue->OnOpening();
+  }
   mDatabases.Open(
     target, now + kOpenTimeout, [self = shared_from_this(), aOpen, now](auto aLink) {
-      self->OnOpened(aOpen.mConnection, aOpen.mOrganisation, now, std::move(aLink));
+      if (self->mQueue) {
+        self->mQueue->OnOpeningEnded();
+      }
+      self->OnOpened(aOpen, now, std::move(aLink));
     });
 }
 
-void DatabasePool::OnOpened(std::uint64_t aConnection,
-                            const std::string& aOrganisation,
+void DatabasePool::OnOpened(const ConnectionPlan::Open& aOpen,
                             TimePoint aSentAt,
-                            tl::expected<DatabaseLinkPtr, ReplyCode> aLink)
+                            tl::expected<DatabaseLinkPtr, OpenError> aLink)
 {
   auto now = Clock::now();
+  auto id = aOpen.mConnection;
   if (aLink && mIsRetired) {
     (*aLink)->Close();
-    Execute(mPlan.OnGone(aConnection, now));
+    Execute(mPlan.OnGone(id, now));
     return;
   }
-  if (aLink) {
-    OnAnswered(aSentAt);
-    mConsecutiveRefusals = 0;
-    mConnections[aConnection] = { *aLink, std::make_shared<SharedConnectionState>() };
-    WatchIdle(aConnection);
-    Execute(mPlan.OnOpened(aConnection, now));
+  if (!aLink) {
+    OnOpenFailed(aOpen, aSentAt, aLink.error());
+    return;
+  }
+  bool wasUnreachable = mSuspectUntil != TimePoint{};
+  OnAnswered(aSentAt);
+  if (mQueue && wasUnreachable) {
+    mQueue->Restart("reachable_again");
+  }
+  mConsecutiveRefusals = 0;
+  auto state = std::make_shared<SharedConnectionState>((*aLink)->InitialState());
+  mConnections[id] = { *aLink, std::move(state) };
+  WatchIdle(id);
+  Execute(mPlan.OnOpened(id, now));
+}
+
+void DatabasePool::OnOpenFailed(const ConnectionPlan::Open& aOpen,
+                                TimePoint aSentAt,
+                                const OpenError& aError)
+{
+  auto now = Clock::now();
+  if (aError.mRetryAt) {
+    RefuseOverloaded(aOpen, *aError.mRetryAt);
     return;
   }
   LOG(INFO) << daemon::LogLine("connection_failed")
                  .With("database", mListed.mName)
                  .With("address", mListed.mAddress)
-                 .With("organisation", aOrganisation)
-                 .With("code", kReplyCodeNames.Name(aLink.error()))
+                 .With("organisation", aOpen.mOrganisation)
+                 .With("code", kReplyCodeNames.Name(aError.mCode))
                  .With("took_ms", (now - aSentAt) / milliseconds(1))
                  .With("waiting", mPlan.Waiting());
   bool isFull =
-    aLink.error() == ReplyCode::TooManyConnections || aLink.error() == ReplyCode::Busy;
+    aError.mCode == ReplyCode::TooManyConnections || aError.mCode == ReplyCode::Busy;
   if (!isFull) {
     mSuspectUntil = now + kSuspectDuration;
   }
@@ -229,13 +312,29 @@
                                            mConsecutiveRefusals++,
                                            kOpenRetryPause)
                       : kOpenRetryPause;
-  Execute(mPlan.OnOpenFailed(aConnection, now + pause, now));
+  Execute(mPlan.OnOpenFailed(aOpen.mConnection, now + pause, now));
   if (!isFull || mPlan.IsRefusingConnections()) {
     // The waiting requests may be served by another database.
     Execute(mPlan.RefuseAll(now + kOpenRetryPause));
   }
 }
 
+// The home can't serve the statement for which the connection was to be opened. Others
+// may be more urgent or have more time, so they are not refused with it.
+void DatabasePool::RefuseOverloaded(const ConnectionPlan::Open& aOpen,
+                                    TimePoint aRetryAt)
+{
+  auto now = Clock::now();
+  auto self = shared_from_this();
+  bool isWaiting = mPlan.Drop(aOpen.mTicket);
+  auto node = mWaiting.extract(aOpen.mTicket);
+  Execute(mPlan.OnGone(aOpen.mConnection, now));
+  if (isWaiting && !node.empty()) {
+    node.mapped().mDone(
+      tl::unexpected(Refusal{ ReplyCode::Busy, "overloaded", aRetryAt, true }));
+  }
+}
+
 void DatabasePool::WatchIdle(std::uint64_t aConnection)
 {
   auto it = mConnections.find(aConnection);
@@ -254,9 +353,9 @@
 {
   auto it = mConnections.find(aClose.mConnection);
   if (it != mConnections.end()) {
-    auto link = it->second.mLink;
+    auto connection = std::move(it->second);
     mConnections.erase(it);
-    link->Close();
+    connection.mLink->Return(*connection.mConnectionState);
   }
 }
 
@@ -265,7 +364,7 @@
   auto node = mWaiting.extract(aRefuse.mTicket);
   if (!node.empty()) {
     Refusal refusal{ ReplyCode::Busy, "no_connection", aRefuse.mRetryAt };
-    node.mapped()(tl::unexpected(std::move(refusal)));
+    node.mapped().mDone(tl::unexpected(std::move(refusal)));
   }
 }
 
@@ -294,6 +393,7 @@
   }
   LeaseRequest request;
   request.mDeadline = aDeadline;
+  request.mTerms = OwnTerms(aDeadline);
   Acquire(mNextTicket++,
           request,
           [this, aCommand, aDeadline, done = std::move(aDone)](
@@ -321,10 +421,11 @@
       timer->Cancel();
       auto& reply = aReplies.back();
       self->OnReply(reply, sentAt);
-      bool isLost = reply.mCode == ReplyCode::Lost;
+      bool isLost = reply.mCode == ReplyCode::Lost || reply.mRetryAt;
       self->Release(aLease, isLost);
       done(isLost ? std::nullopt : std::optional(std::move(reply)));
     };
+  aLease->mLink->SetTerms(OwnTerms(aDeadline));
   aLease->mLink->Send({ aCommand }, std::move(onReplies));
 }
 
@@ -336,7 +437,7 @@
   lease->mConnection = aConnection;
   lease->mDatabase = mListed.mName;
   lease->mGroup = mListed.mGroup;
-  lease->mLink = held.mLink;
+  lease->mLink = mQueue ? mQueue->Wrap(held.mLink) : held.mLink;
   lease->mConnectionState = held.mConnectionState;
   mLeases[aConnection] = lease;
   return lease;
--- a/src/proxy/DatabasePool.h
+++ b/src/proxy/DatabasePool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "proxy/Backend.h"
+#include "proxy/DatabaseQueue.h"
 #include "proxy/Loop.h"
 #include "sesameway/ConnectionPlan.h"
 #include "sesameway/DatabaseList.h"
@@ -12,6 +13,20 @@
 
 namespace sesameway::proxy {
 
+// How a pool comes by its connections.
+enum class PoolKind : std::uint8_t
+{
+  // All daemons connect to the database.
+  Direct,
+  // This daemon is a home of the database: statements wait in its queue for a slot.
+  Home,
+  // The connections belong to the database's homes and are returned after each use.
+  Borrowing,
+};
+inline constexpr NameTable<PoolKind, 3> kPoolKindNames{
+  { "direct", "home", "borrowing" }
+};
+
 // This daemon's connection pool for one database. It carries out the decisions of
 // ConnectionPlan and tracks when the database last responded.
 class DatabasePool : public std::enable_shared_from_this<DatabasePool>
@@ -21,11 +36,20 @@
   // sent then.
   using GrantCallback = std::function<void(tl::expected<LeasePtr, Refusal>)>;
 
-  DatabasePool(Loop& aLoop, DatabaseConnector& aDatabases, ListedDatabase aListed);
+  DatabasePool(Loop& aLoop,
+               DatabaseConnector& aDatabases,
+               ListedDatabase aListed,
+               PoolKind aKind = PoolKind::Direct,
+               DatabaseQueue::Counter aCount = {});
 
   const ListedDatabase& Listed() const { return mListed; }
+  PoolKind Kind() const { return mKind; }
   void SetListed(const ListedDatabase& aListed);
   void SetLimit(std::size_t aLimit);
+  // At a home: how many statements the database may get at once, and how many may start
+  // per second.
+  void SetSlots(std::size_t aSlots);
+  void SetStartRate(std::optional<double> aPerSecond);
   void Acquire(std::uint64_t aTicket,
                const LeaseRequest& aRequest,
                GrantCallback aDone);
@@ -60,14 +84,22 @@
   // The end of the database's log according to its last reply; none if that reply is
   // too old.
   std::optional<LogPosition> Position(TimePoint aNow) const;
-  Duration ExpectedWait(const std::string& aOrganisation) const
-  {
-    return mPlan.ExpectedWait(aOrganisation);
-  }
+  // Expected wait of a statement with these terms for a connection and, at a home, for
+  // a slot.
+  Duration ExpectedWait(const StatementTerms& aTerms) const;
+  // At a home: when a statement with these terms would have to come back, if it can't
+  // be served in time.
+  std::optional<TimePoint> RefusedUntil(const StatementTerms& aTerms) const;
   std::size_t Waiting() const { return mPlan.Waiting(); }
+  const DatabaseQueue* Queue() const { return mQueue.get(); }
 
 private:
   static constexpr std::uint64_t kFirstOwnTicket = std::uint64_t{ 1 } << 62;
+  struct Waiter
+  {
+    GrantCallback mDone;
+    StatementTerms mTerms;
+  };
   struct OpenConnection
   {
     DatabaseLinkPtr mLink;
@@ -78,10 +110,13 @@
   void Execute(const ConnectionPlan::Open& aOpen);
   void Execute(const ConnectionPlan::Close& aClose);
   void Execute(const ConnectionPlan::Refuse& aRefuse);
-  void OnOpened(std::uint64_t aConnection,
-                const std::string& aOrganisation,
+  void OnOpened(const ConnectionPlan::Open& aOpen,
                 TimePoint aSentAt,
-                tl::expected<DatabaseLinkPtr, ReplyCode> aLink);
+                tl::expected<DatabaseLinkPtr, OpenError> aLink);
+  void OnOpenFailed(const ConnectionPlan::Open& aOpen,
+                    TimePoint aSentAt,
+                    const OpenError& aError);
+  void RefuseOverloaded(const ConnectionPlan::Open& aOpen, TimePoint aRetryAt);
   LeasePtr MakeLease(std::uint64_t aConnection);
   void OnAnswered(TimePoint aSentAt);
   void WatchIdle(std::uint64_t aConnection);
@@ -94,11 +129,14 @@
   Loop& mLoop;
   DatabaseConnector& mDatabases;
   ListedDatabase mListed;
+  PoolKind mKind;
   ConnectionPlan mPlan;
+  // Set at a home only.
+  std::shared_ptr<DatabaseQueue> mQueue;
   Timer mTick;
   bool mIsRetired = false;
   std::map<std::uint64_t, OpenConnection> mConnections;
-  std::map<std::uint64_t, GrantCallback> mWaiting;
+  std::map<std::uint64_t, Waiter> mWaiting;
   // Leases in use, by connection number.
   std::map<std::uint64_t, std::weak_ptr<ConnectionLease>> mLeases;
   TimePoint mHeardAt{};
--- a/src/proxy/FleetPlacement.cpp
+++ b/src/proxy/FleetPlacement.cpp
@@ -1,6 +1,7 @@
 #include "proxy/DatabaseFleet.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sesameway::proxy {
 
@@ -82,6 +83,9 @@
   std::vector<ReadCandidate> candidates;
   for (const auto* it : mList.OfGroup(request.mGroup)) {
     auto pool = FindPool(it->mName);
+    if (mPending.at(aTicket).mOverloaded.count(it->mName) > 0) {
+      continue;
+    }
     bool isPrimary = it->mName == group.mLeadership.Record().mPrimary;
     if (!pool || pool->IsSuspect(now) || (isPrimary && !mayUsePrimary) ||
         (!isPrimary && it->mIsLeaving)) {
@@ -91,7 +95,7 @@
     candidate.mName = it->mName;
     candidate.mIsPrimary = isPrimary;
     candidate.mDistance = LatencyTo(it->mZone);
-    candidate.mExpectedWait = pool->ExpectedWait(request.mOrganisation);
+    candidate.mExpectedWait = ExpectedWaitAt(*pool, request.mTerms, now);
     candidate.mPosition = pool->Position(now);
     candidate.mIsTooOld = request.mLaggingDatabases.count(it->mName) > 0;
     candidate.mShouldAvoid =
@@ -102,6 +106,8 @@
   if (choice) {
     const auto& chosen = candidates[*choice];
     PlaceAt(aTicket, FindPool(chosen.mName), chosen.mIsPrimary);
+  } else if (!mPending.at(aTicket).mOverloaded.empty()) {
+    Refuse(aTicket, "overloaded", mPending.at(aTicket).mRetryAt);
   } else if (!mayUsePrimary && !group.mLeadership.IsChanging()) {
     Refuse(aTicket, "no_fresh_database", now + kRetryPause);
   }
@@ -113,11 +119,17 @@
 {
   auto& pending = mPending.at(aTicket);
   auto now = Clock::now();
-  auto wait = aPool->ExpectedWait(pending.mRequest.mOrganisation);
+  const auto& terms = pending.mRequest.mTerms;
+  auto wait = ExpectedWaitAt(*aPool, terms, now);
   if (now + wait > pending.mRequest.mDeadline) {
     Refuse(aTicket, "overloaded", now + wait);
     return;
   }
+  if (auto until = aPool->RefusedUntil(terms)) {
+    pending.mDatabase = aPool->Listed().mName;
+    OnOverload(aTicket, *until);
+    return;
+  }
   pending.mDatabase = aPool->Listed().mName;
   pending.mIsAtPrimary = aIsPrimary;
   pending.mChange = mGroups[pending.mRequest.mGroup].mLeadership.Record().mChange;
@@ -141,6 +153,10 @@
   if (aLease && isBlocked) {
     Release(*aLease, false);
   }
+  if (!aLease && aLease.error().mIsOverload) {
+    OnOverload(aTicket, aLease.error().mRetryAt);
+    return;
+  }
   if (!aLease || isBlocked) {
     // Tick chooses again: another database, or the same one a little later.
     pending.mRequest.mAvoid.insert(pending.mDatabase);
@@ -153,6 +169,20 @@
   node.mapped().mDone(std::move(aLease));
 }
 
+// A read may be served by another database. A statement that needs the primary is
+// refused at once, because waiting would not help it.
+void DatabaseFleet::OnOverload(std::uint64_t aTicket, TimePoint aRetryAt)
+{
+  auto& pending = mPending.at(aTicket);
+  pending.mOverloaded.insert(std::exchange(pending.mDatabase, {}));
+  pending.mRetryAt = std::min(pending.mRetryAt, aRetryAt);
+  if (pending.mRequest.mNeedsPrimary) {
+    Refuse(aTicket, "overloaded", aRetryAt);
+  } else {
+    PlaceRead(aTicket);
+  }
+}
+
 void DatabaseFleet::Refuse(std::uint64_t aTicket,
                            const char* aReason,
                            TimePoint aRetryAt)
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -68,7 +68,11 @@
       { { kOwnKind, kOwnKindPollTimeout },
         { std::string(KindOf(mAdapters.mConfigurationObject)), kOtherKindPollTimeout },
         { mAdapters.mDatabaseKind, kOtherKindPollTimeout } })
-  , mFleet(aLoop, *mAdapters.mDatabases, mSettings, mAdapters.mReadStatus)
+  , mFleet(aLoop,
+           *mAdapters.mDatabases,
+           mSettings,
+           mAdapters.mReadStatus,
+           [this](const std::string& aName) { mMetrics.Count(aName); })
   , mRegistration(mSelf.mName, mSelf.mAddress)
   , mWatchers({ mSelf.mName, mSelf.mZone })
   , mTick(aLoop)
@@ -99,6 +103,7 @@
   mPeers = aPeers;
   mCoordinator->SetPeers(aPeers);
   mPulls.SetPeers(aPeers);
+  mFleet.SetPeers(aPeers);
   mAdmission->Start(aPeers);
   // The proxy does not call ShareKeeper::ReleaseSlots: a stopping daemon keeps its
   // slots because it usually restarts soon.
@@ -200,12 +205,13 @@
   mDrainPlan.emplace(Clock::now(), aLimit);
   mOnDrained = std::move(aDone);
   mCoordinator->Leave();
+  mFleet.StopLending();
 }
 
 void Proxy::DrainSessions()
 {
   auto now = Clock::now();
-  bool isAnyOpen = false;
+  bool isAnyOpen = mFleet.LentCount() > 0;
   for (const auto& it : mSessions) {
     auto session = it.lock();
     if (!session) {
@@ -232,9 +238,14 @@
 std::vector<daemon::MetricValue> Proxy::Gauges() const
 {
   auto age = std::chrono::duration<double>(Clock::now() - mSync.Contact()).count();
+  auto load = mFleet.Load();
   return { { "sessions.open", static_cast<double>(mSessions.size()) },
            { "store.contact_age_s", age },
-           { "coordinator", mCoordinator->IsCoordinator() ? 1.0 : 0.0 } };
+           { "coordinator", mCoordinator->IsCoordinator() ? 1.0 : 0.0 },
+           { "homes.count", static_cast<double>(load.mHomes) },
+           { "homes.lent_now", static_cast<double>(mFleet.LentCount()) },
+           { "queue.waiting", static_cast<double>(load.mWaiting) },
+           { "queue.running", static_cast<double>(load.mRunning) } };
 }
 
 } // namespace sesameway::proxy
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -101,6 +101,8 @@
   void OnStandDown(const std::string& aGroup,
                    std::uint64_t aChange,
                    std::function<void()> aDone) override;
+  void OnOpenLink(peer::LinkRequest aRequest,
+                  std::function<void(peer::LinkOffer)> aDone) override;
 
 private:
   void OnChange(const StoredObject& aObject);
--- a/src/proxy/ProxyPeers.cpp
+++ b/src/proxy/ProxyPeers.cpp
@@ -177,4 +177,12 @@
   });
 }
 
+void Proxy::OnOpenLink(peer::LinkRequest aRequest,
+                       std::function<void(peer::LinkOffer)> aDone)
+{
+  mLoop.Post([this, request = std::move(aRequest), done = std::move(aDone)] {
+    mFleet.Lend(request, done);
+  });
+}
+
 } // namespace sesameway::proxy
--- a/src/proxy/ProxyStore.cpp
+++ b/src/proxy/ProxyStore.cpp
@@ -170,10 +170,8 @@
   }
   auto members = Records();
   std::erase_if(members, [](const auto& aIt) { return aIt.mIsMissing; });
-  std::vector<std::string> zones;
   std::vector<NearDaemon> near;
   for (const auto& it : members) {
-    zones.push_back(it.mZone);
     if (IsOwnRegion(it.mZone)) {
       near.push_back({ it.mName, it.mZone });
     }
@@ -183,7 +181,7 @@
                  .With("members", members.size())
                  .With("near", near.size())
                  .With("revision", mSync.OwnRevision());
-  mFleet.SetDaemonZones(zones);
+  mFleet.SetDaemons(members);
   mWatchers.SetDaemons(std::move(near));
   mLinkedPeers.SetPeers(members, [this](const std::string& aZone) {
     return aZone == mSelf.mZone ? 0 : IsOwnRegion(aZone) ? 1 : 2;
--- a/src/proxy/Transport.h
+++ b/src/proxy/Transport.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
 #include <vector>
@@ -52,12 +53,33 @@
   // The expected name of the database, because the address may belong to another one by
   // now.
   std::string mDatabase;
+  // What the statement needs for which the connection is opened.
+  StatementTerms mTerms{};
+};
+
+// Why no connection was opened.
+struct OpenError
+{
+  // Not explicit, as most connectors know no more than the code.
+  OpenError(ReplyCode aCode) // NOLINT(google-explicit-constructor)
+    : mCode(aCode)
+  {
+  }
+  OpenError(ReplyCode aCode, TimePoint aRetryAt)
+    : mCode(aCode)
+    , mRetryAt(aRetryAt)
+  {
+  }
+  ReplyCode mCode;
+  // Set if the statement for which it was to be opened can't be served in time: when to
+  // try again.
+  std::optional<TimePoint> mRetryAt;
 };
 
 class DatabaseConnector
 {
 public:
-  using OpenCallback = std::function<void(tl::expected<DatabaseLinkPtr, ReplyCode>)>;
+  using OpenCallback = std::function<void(tl::expected<DatabaseLinkPtr, OpenError>)>;
   virtual ~DatabaseConnector() = default;
   virtual void Open(const LinkTarget& aTarget,
                     TimePoint aDeadline,
--- a/test/proxy/FakeDatabases.h
+++ b/test/proxy/FakeDatabases.h
@@ -60,8 +60,8 @@
 class FleetWorld
 {
 public:
-  FleetWorld()
-    : mFleet(mLoop, mDatabases, Settings(), ReadStatusRow)
+  explicit FleetWorld(const proxy::Settings& aSettings = {})
+    : mFleet(mLoop, mDatabases, aSettings, ReadStatusRow)
   {
     // DatabaseFleet reads the real clock, so the sessions start at the same time.
     mEnvironment.mNow = Clock::now();
@@ -159,9 +159,6 @@
   std::shared_ptr<bool> mHasStoodDown;
   std::uint64_t mRevision = 0;
   int mRequests = 0;
-
-private:
-  using Settings = proxy::Settings;
 };
 
 } // namespace sesameway::test
