One function for rendezvous hashing

ChooseHomes and PeerRank each held the same hash, and the ranking of homes of a database needs it too. RendezvousHash replaces both; a third copy, or one that differs by mistake, can no longer arise. The other uses of XXH3 (checksums, slots of shares) hash other things and stay.

--- a/src/core/Homes.cpp
+++ b/src/core/Homes.cpp
@@ -1,22 +1,12 @@
 #include "sesameway/Homes.h"
 
-#include <xxhash.h>
+#include "sesameway/Rendezvous.h"
 
 #include <algorithm>
 #include <set>
 
 namespace sesameway {
 
-namespace {
-
-std::uint64_t Score(std::string_view aGroup, std::string_view aName)
-{
-  return XXH3_64bits_withSeed(
-    aName.data(), aName.size(), XXH3_64bits(aGroup.data(), aGroup.size()));
-}
-
-} // namespace
-
 std::vector<std::string> ChooseHomes(std::string_view aGroup,
                                      const std::vector<Candidate>& aCandidates,
                                      std::size_t aSlots)
@@ -24,7 +14,7 @@
   std::vector<std::pair<std::uint64_t, const Candidate*>> ranked;
   ranked.reserve(aCandidates.size());
   for (const auto& it : aCandidates) {
-    ranked.emplace_back(Score(aGroup, it.mName), &it);
+    ranked.emplace_back(RendezvousHash(aGroup, it.mName), &it);
   }
   std::sort(ranked.begin(), ranked.end(), [](const auto& aLeft, const auto& aRight) {
     return aLeft.first > aRight.first;
--- a/src/core/LinkedPeers.cpp
+++ b/src/core/LinkedPeers.cpp
@@ -1,6 +1,6 @@
 #include "sesameway/LinkedPeers.h"
 
-#include <xxhash.h>
+#include "sesameway/Rendezvous.h"
 
 #include <algorithm>
 #include <tuple>
@@ -9,8 +9,7 @@
 
 std::uint64_t PeerRank(std::string_view aSelf, std::string_view aPeer)
 {
-  auto seed = XXH3_64bits(aSelf.data(), aSelf.size());
-  return XXH3_64bits_withSeed(aPeer.data(), aPeer.size(), seed);
+  return RendezvousHash(aSelf, aPeer);
 }
 
 void LinkedPeers::SetPeers(const std::vector<MemberRecord>& aPeers,
