Member records state the speed of the VM

Homes of a database are to be chosen by speed, as a VM with 0.12 of a core can't carry as much as one with eight times that. A record without a speed, or with one that is not a positive finite number, counts as 0.25.

Records of earlier versions lack the key and are read. Earlier versions read only the keys that they know by name and ignore others, so they read the new record; a test adds an unknown key. If a coordinator of an earlier version marks a record as missing it drops the speed, and the daemon then writes its whole record again because of the mark. A daemon compares its record with the stored text as before, which differs after a start anyway because of the incarnation.

MembershipTest: speed survives formatting and parsing, default for nine invalid values, unknown keys.

--- a/include/sesameway/Membership.h
+++ b/include/sesameway/Membership.h
@@ -12,6 +12,12 @@
 
 namespace sesameway {
 
+// Speed of a daemon that does not state a valid one, as a share of a core.
+inline constexpr double kDefaultSpeed = 0.25;
+
+// Returns `aSpeed` if it is a positive finite number, otherwise kDefaultSpeed.
+double ValidSpeed(double aSpeed);
+
 // A daemon's record in the store. Before a change of primary, every daemon that has a
 // record is asked to stop using the old primary.
 struct MemberRecord
@@ -23,6 +29,9 @@
   // Set by the coordinator when the daemon has not answered for a long time. The record
   // is then removed unless the daemon writes it again.
   bool mIsMissing = false;
+  // Processing speed of the daemon's VM, as a share of a core. Records of earlier
+  // versions lack it.
+  double mSpeed = kDefaultSpeed;
   bool operator==(const MemberRecord&) const = default;
 };
 
--- a/src/core/Membership.cpp
+++ b/src/core/Membership.cpp
@@ -2,6 +2,7 @@
 
 #include "sesameway/Leadership.h"
 
+#include <cmath>
 #include <set>
 #include <sstream>
 #include <toml++/toml.h>
@@ -21,6 +22,11 @@
 
 } // namespace
 
+double ValidSpeed(double aSpeed)
+{
+  return std::isfinite(aSpeed) && aSpeed > 0 ? aSpeed : kDefaultSpeed;
+}
+
 tl::expected<MemberRecord, std::string> ParseMemberRecord(std::string_view aBody)
 {
   toml::table table;
@@ -36,6 +42,7 @@
   auto incarnation = table["incarnation"].value_or(std::string());
   record.mIncarnation = std::strtoull(incarnation.c_str(), nullptr, 10);
   record.mIsMissing = table["missing"].value_or(false);
+  record.mSpeed = ValidSpeed(table["speed"].value_or(kDefaultSpeed));
   if (record.mName.empty() || record.mAddress.empty()) {
     return tl::unexpected(std::string("a name and an address"));
   }
@@ -47,7 +54,8 @@
   toml::table table{ { "name", aRecord.mName },
                      { "zone", aRecord.mZone },
                      { "address", aRecord.mAddress },
-                     { "incarnation", std::to_string(aRecord.mIncarnation) } };
+                     { "incarnation", std::to_string(aRecord.mIncarnation) },
+                     { "speed", aRecord.mSpeed } };
   if (aRecord.mIsMissing) {
     table.insert("missing", true);
   }
--- a/test/core/MembershipTest.cpp
+++ b/test/core/MembershipTest.cpp
@@ -9,6 +9,8 @@
   CPPUNIT_TEST_SUITE(MembershipTest);
   CPPUNIT_TEST(RecordSurvivesFormattingAndParsing);
   CPPUNIT_TEST(RecordWithoutNameOrAddressIsRefused);
+  CPPUNIT_TEST(RecordWithoutValidSpeedCountsAsAQuarterOfACore);
+  CPPUNIT_TEST(UnknownKeysAreIgnored);
   CPPUNIT_TEST(ContactCountsOnlySinceRegistration);
   CPPUNIT_TEST(ContactEndsWhenTheRecordIsRemovedOrMarkedMissing);
   CPPUNIT_TEST(RecordOfAnotherAddressDoesNotCount);
@@ -37,6 +39,8 @@
     CPPUNIT_ASSERT(*ParseMemberRecord(FormatMemberRecord(record)) == record);
     record.mIsMissing = true;
     CPPUNIT_ASSERT(*ParseMemberRecord(FormatMemberRecord(record)) == record);
+    record.mSpeed = 0.12 * 1.7;
+    CPPUNIT_ASSERT(*ParseMemberRecord(FormatMemberRecord(record)) == record);
   }
 
   void RecordWithoutNameOrAddressIsRefused()
@@ -46,6 +50,32 @@
     CPPUNIT_ASSERT(!ParseMemberRecord("= ="));
   }
 
+  // Guards against a record of an earlier version, or a damaged one, that makes a
+  // daemon home of no database or of all.
+  void RecordWithoutValidSpeedCountsAsAQuarterOfACore()
+  {
+    auto speedWith = [](const std::string& aLine) {
+      return ParseMemberRecord("name = \"d1\"\naddress = \"10.0.0.1:1\"\n" + aLine)
+        ->mSpeed;
+    };
+    CPPUNIT_ASSERT_EQUAL(0.12, speedWith("speed = 0.12"));
+    CPPUNIT_ASSERT_EQUAL(2.0, speedWith("speed = 2"));
+    for (const auto* it :
+         { "", "0", "0.0", "-1.5", "inf", "-inf", "nan", "\"fast\"", "[1.0]" }) {
+      auto text = std::string(it);
+      auto line = text.empty() ? text : "speed = " + text;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(text, 0.25, speedWith(line));
+    }
+  }
+
+  // Guards against a daemon that can't read the records of a later version, and so does
+  // not know the fleet during a rolling upgrade.
+  void UnknownKeysAreIgnored()
+  {
+    auto body = FormatMemberRecord(MakeRecord("d1")) + "\nfuture = [ 1, { a = 2 } ]\n";
+    CPPUNIT_ASSERT(ParseMemberRecord(body) == MakeRecord("d1"));
+  }
+
   void ContactCountsOnlySinceRegistration()
   {
     Registration registration("d1", "10.0.0.1:1");
