Peer protocol: calls that lend a database connection

Where a database allows fewer connections than there are daemons, a daemon borrows a connection from one of the database's homes. This needs a call that opens a link and a capability over which batches run, so that a broken connection between the daemons ends the link without a timer of its own.

Adds openLink as method 9 of Peer, the interface Link and its messages. Existing methods and fields keep their numbers. Texts of statements, values and rows are Data, as in the messages for statements; a log position has an explicit presence flag, because term 0 and position 0 are valid.

--- a/proto/peer.capnp
+++ b/proto/peer.capnp
@@ -116,6 +116,76 @@
   bytes @4 :Data;
 }
 
+# What a statement needs of the database that runs it. Times are the time left, 0 once it
+# has passed; a goal of 0 means that there is none.
+struct Terms {
+  priority @0 :UInt32;
+  goalUs @1 :UInt64;
+  deadlineUs @2 :UInt64;
+  inTransaction @3 :Bool;
+  organisation @4 :Text;
+  costClass @5 :Text;
+}
+
+# A command to a database over a lent connection.
+struct LinkCommand {
+  kind @0 :UInt8;
+  id @1 :Text;
+  text @2 :Data;
+  name @3 :Text;
+  preparesWrite @4 :Bool;
+  # Whether `afterTerm` and `afterPosition` are meant.
+  hasAfter @5 :Bool;
+  afterTerm @6 :UInt64;
+  afterPosition @7 :UInt64;
+  term @8 :UInt64;
+}
+
+# A database's reply to a command. `retryAfterUs` is 0 unless the command was refused
+# before it was sent to the database.
+struct LinkReply {
+  code @0 :UInt8;
+  detail @1 :Text;
+  rows @2 :List(Data);
+  digest @3 :Text;
+  transaction @4 :UInt8;
+  # Whether `term` and `position` are meant.
+  hasPosition @5 :Bool;
+  term @6 :UInt64;
+  position @7 :UInt64;
+  retryAfterUs @8 :UInt64;
+}
+
+struct SessionValue {
+  name @0 :Text;
+  value @1 :Data;
+}
+
+struct PreparedEntry {
+  name @0 :Text;
+  write @1 :Bool;
+  shape @2 :Data;
+}
+
+# What is set and prepared on a connection. If it is unknown, the next use of the
+# connection resets it.
+struct ConnectionContents {
+  values @0 :List(SessionValue);
+  prepared @1 :List(PreparedEntry);
+  unknown @2 :Bool;
+}
+
+# A connection to a database that its home lends to another daemon. Dropping the
+# capability without `return` closes the connection, which rolls back its transaction.
+interface Link {
+  # Runs a batch on the lent connection. One batch at a time. `waitUs` is the expected
+  # wait of a new statement at this database.
+  send @0 (commands :List(LinkCommand), terms :Terms) ->
+      (replies :List(LinkReply), waitUs :UInt64);
+  # Returns the connection in a clean state, with what is set and prepared on it.
+  return @1 (contents :ConnectionContents) -> ();
+}
+
 interface Peer {
   hello @0 (from :MemberInfo) -> (to :MemberInfo, ready :Bool);
   execute @1 (statement :Statement) -> (answer :Answer);
@@ -150,4 +220,11 @@
   # The same as `primary` for several groups. If none is named, returns the groups whose
   # primary the callee has not heard from for a while.
   primaries @8 (groups :List(Text)) -> (primaries :List(GroupPrimary));
+  # Asks a home of the database for a connection of this organisation. `refusal` is 0 if
+  # there is a link; 1: the callee is not a home of the database, 2: it is leaving, 3: it
+  # is overloaded, 4: the database does not answer it. `retryAfterUs` belongs to the
+  # refusal, 0 for none. `waitUs` is the expected wait of a new statement.
+  openLink @9 (database :Text, group :Text, organisation :Text, terms :Terms) ->
+      (link :Link, contents :ConnectionContents, refusal :UInt8, retryAfterUs :UInt64,
+       waitUs :UInt64);
 }
