Peers lend and borrow database connections

Where a database allows fewer than two connections per daemon, only its homes hold connections, and the other daemons need a way to run batches on them.

Link.h defines the lent link, its request and its offer. The conversions check the numbers of kinds and codes, the counts and the sizes of texts on both sides: a message beyond Cap'n Proto's limit would end the connection and all links over it, so it is refused before it is sent. Contents of a connection that are too large for a message are sent as unknown, which costs a reset instead of the connection.

The borrower's capabilities stay on the event loop thread, in BorrowedLinks; the objects that callers hold name them by a number. A batch is an object that replies Lost when it is destroyed unanswered, so that there is one reply on every path: deadline, broken connection, unreadable answer, dropped link, stopped peers. A link whose batch was lost is dropped at once, which frees the connection at the home. Per-path bookkeeping of callbacks was weighed and left, because each new path could miss one.

At the home, open and send calls may be cancelled. Without that, Cap'n Proto keeps a link alive until its batch ends, also when the borrower is gone. An offer that comes after the borrower has given up is returned to the home unused.

TaskQueue and LoopFulfiller move into LoopTasks.h. The fulfiller is now released on the event loop thread: with cancelled calls its promise can be dropped there while another thread drops the last copy of the callback. The queue is closed when the loop has ended, so that tasks that never run are destroyed and their batches answered.

An error that a peer answers to openLink counts as an answer, so that peers of a former version are not taken for silent and their connections not dropped.

--- a/src/peer/CapnpPeers.cpp
+++ b/src/peer/CapnpPeers.cpp
@@ -1,6 +1,8 @@
 #include "peer/CapnpPeers.h"
 
+#include "peer/CapnpLinks.h"
 #include "peer/Convert.h"
+#include "peer/LoopTasks.h"
 
 #include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
@@ -28,74 +30,6 @@
 // Added to a statement's deadline, so that an answer sent at the deadline can arrive.
 constexpr auto kAnswerAllowance = milliseconds(20);
 
-// Passes tasks from any thread to the event loop thread.
-class TaskQueue
-{
-public:
-  void Post(std::function<void()> aTask)
-  {
-    std::lock_guard lock(mMutex);
-    mTasks.push_back(std::move(aTask));
-    if (mWake.get() != nullptr) {
-      mWake->fulfill();
-      mWake = nullptr;
-    }
-  }
-
-  // Runs tasks as they are posted, without end. Call it on the event loop thread.
-  kj::Promise<void> Run()
-  {
-    std::vector<std::function<void()>> tasks;
-    kj::Promise<void> next = kj::READY_NOW;
-    {
-      std::lock_guard lock(mMutex);
-      tasks.swap(mTasks);
-      if (tasks.empty()) {
-        auto paf = kj::newPromiseAndCrossThreadFulfiller<void>();
-        mWake = kj::mv(paf.fulfiller);
-        next = kj::mv(paf.promise);
-      }
-    }
-    for (auto& it : tasks) {
-      it();
-    }
-    return next.then([this] { return Run(); });
-  }
-
-private:
-  std::mutex mMutex;
-  std::vector<std::function<void()>> mTasks;
-  kj::Own<kj::CrossThreadPromiseFulfiller<void>> mWake;
-};
-
-using TaskQueuePtr = std::shared_ptr<TaskQueue>;
-
-// Fulfils a promise of the event loop thread from any thread. Must be called only once.
-template<typename Value>
-class LoopFulfiller
-{
-public:
-  LoopFulfiller(TaskQueuePtr aTaskQueue,
-                kj::Own<kj::PromiseFulfiller<Value>> aFulfiller)
-    : mTaskQueue(std::move(aTaskQueue))
-    , mFulfiller(
-        std::make_shared<kj::Own<kj::PromiseFulfiller<Value>>>(kj::mv(aFulfiller)))
-  {
-  }
-
-  void operator()(Value aValue) const
-  {
-    mTaskQueue->Post(
-      [fulfiller = mFulfiller, value = std::make_shared<Value>(std::move(aValue))] {
-        (*fulfiller)->fulfill(kj::mv(*value));
-      });
-  }
-
-private:
-  TaskQueuePtr mTaskQueue;
-  std::shared_ptr<kj::Own<kj::PromiseFulfiller<Value>>> mFulfiller;
-};
-
 KindRevisions ReadKinds(const capnp::List<wire::KindRevision>::Reader& aKinds)
 {
   KindRevisions revisions;
@@ -372,6 +306,11 @@
     return paf.promise.then([](bool) {});
   }
 
+  kj::Promise<void> openLink(OpenLinkContext aContext) override
+  {
+    return ServeOpenLink(mTaskQueue, mHandler, aContext);
+  }
+
 private:
   TaskQueuePtr mTaskQueue;
   Handler* mHandler;
@@ -642,6 +581,24 @@
       });
   }
 
+  void OpenLink(const std::string& aAddress,
+                LinkRequest aRequest,
+                TimePoint aDeadline,
+                std::function<void(std::optional<LinkOffer>)> aDone) override
+  {
+    using Offer = std::optional<LinkOffer>;
+    Call<Offer>(
+      aAddress,
+      aDeadline,
+      [this, aAddress, request = std::move(aRequest)](wire::Peer::Client aPeer) {
+        auto onAnswer = [this, aAddress] { OnAnswer(aAddress, true); };
+        return mLinks->Open(aPeer, request, onAnswer);
+      },
+      [done = std::move(aDone)](std::optional<Offer> aOffer) {
+        done(aOffer ? std::move(*aOffer) : std::nullopt);
+      });
+  }
+
   // Passes the promise's value to `aDone`, or no value if the promise fails or the
   // deadline passes. If the connection broke, calls `aOnBroken` first. Call it on the
   // event loop thread.
@@ -736,13 +693,21 @@
   void Run()
   {
     auto io = kj::setupAsyncIo();
+    Serve(io);
+    mTaskQueue->Close();
+  }
+
+  // Runs the event loop until the object is destroyed.
+  void Serve(kj::AsyncIoContext& aIo)
+  {
     auto stop = kj::newPromiseAndFulfiller<void>();
     mStop = kj::mv(stop.fulfiller);
-    mNetwork = &io.provider->getNetwork();
-    mTimer = &io.provider->getTimer();
+    mNetwork = &aIo.provider->getNetwork();
+    mTimer = &aIo.provider->getTimer();
     LogFailure logFailure;
     mTasks = std::make_unique<kj::TaskSet>(logFailure);
-    auto address = mNetwork->parseAddress(mListenAddress).wait(io.waitScope);
+    mLinks = std::make_unique<BorrowedLinks>(mTimer, mTaskQueue);
+    auto address = mNetwork->parseAddress(mListenAddress).wait(aIo.waitScope);
     auto receiver = address->listen();
     capnp::TwoPartyServer server(kj::heap<PeerServer>(mTaskQueue, mHandler));
     mTasks->add(server.listen(*receiver));
@@ -752,9 +717,10 @@
       mIsListening = true;
     }
     mStarted.notify_all();
-    stop.promise.wait(io.waitScope);
+    stop.promise.wait(aIo.waitScope);
     mTasks.reset();
     mOpening.clear();
+    mLinks.reset();
     mPeerConnections.clear();
   }
 
@@ -885,6 +851,7 @@
   kj::Network* mNetwork = nullptr;
   kj::Timer* mTimer = nullptr;
   std::unique_ptr<kj::TaskSet> mTasks;
+  std::unique_ptr<BorrowedLinks> mLinks;
   std::map<std::string, std::shared_ptr<PeerConnection>> mPeerConnections;
   // Connections that are being opened, by address.
   Opening mOpening;
--- a/src/peer/Convert.cpp
+++ b/src/peer/Convert.cpp
@@ -1,24 +1,11 @@
 #include "peer/Convert.h"
 
+#include "peer/WireText.h"
+
 namespace sesameway::peer {
 
 namespace {
 
-kj::ArrayPtr<const kj::byte> Bytes(const std::string& aText)
-{
-  return { reinterpret_cast<const kj::byte*>(aText.data()), aText.size() };
-}
-
-std::string Text(capnp::Data::Reader aData)
-{
-  return { reinterpret_cast<const char*>(aData.begin()), aData.size() };
-}
-
-std::string Text(capnp::Text::Reader aText)
-{
-  return { aText.begin(), aText.size() };
-}
-
 template<typename List>
 void FillToken(const SessionToken& aFrom, List aTo)
 {
@@ -40,11 +27,6 @@
   return to;
 }
 
-std::uint64_t Micros(Duration aDuration)
-{
-  return std::chrono::duration_cast<microseconds>(aDuration).count();
-}
-
 } // namespace
 
 void Fill(const GroupRequest& aFrom, TimePoint aNow, wire::Statement::Builder aTo)
--- /dev/null
+++ b/src/peer/ConvertLink.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "peer.capnp.h"
+
+#include "peer/Link.h"
+
+#include <cstddef>
+#include <string>
+#include <tl/expected.hpp>
+#include <vector>
+
+// Converts between the types of a lent link and their messages. A time crosses as the
+// time left; `aNow` is the current time on the converting side.
+namespace sesameway::peer {
+
+// Limits of a message. The reader refuses what exceeds them, and the sender does not
+// send it: a message beyond Cap'n Proto's own limit of 64 MiB would end the connection,
+// and with it all links between the two daemons.
+inline constexpr std::size_t kMaxBatch = 64;
+inline constexpr std::size_t kMaxTextBytes = std::size_t{ 1 } << 20;
+inline constexpr std::size_t kMaxMessageBytes = std::size_t{ 32 } << 20;
+// Values and prepared statements of a connection, and their size in all. To reset a
+// connection with more costs less than to describe it to another daemon.
+inline constexpr std::size_t kMaxContents = 256;
+inline constexpr std::size_t kMaxContentsBytes = std::size_t{ 1 } << 20;
+
+// A value that was read, or what is wrong with the message.
+template<typename Value>
+using Readable = tl::expected<Value, std::string>;
+using Commands = std::vector<ConnectionCommand>;
+
+// Checks the limits and the numbers of kinds and codes.
+Readable<void> Check(const StatementTerms& aTerms);
+Readable<void> Check(const Commands& aCommands);
+Readable<void> Check(const LinkReplies& aReplies);
+Readable<void> Check(const LinkRequest& aRequest);
+
+// Fill expects a value that passes its check.
+void Fill(const StatementTerms& aFrom, TimePoint aNow, wire::Terms::Builder aTo);
+Readable<StatementTerms> Read(wire::Terms::Reader aFrom, TimePoint aNow);
+
+void Fill(const Commands& aFrom,
+          const StatementTerms& aTerms,
+          TimePoint aNow,
+          wire::Link::SendParams::Builder aTo);
+Readable<Commands> Read(capnp::List<wire::LinkCommand>::Reader aFrom);
+
+void Fill(const LinkReplies& aFrom,
+          TimePoint aNow,
+          wire::Link::SendResults::Builder aTo);
+Readable<LinkReplies> Read(wire::Link::SendResults::Reader aFrom, TimePoint aNow);
+
+// Contents that exceed the limits are sent as unknown.
+void Fill(const SharedConnectionState& aFrom, wire::ConnectionContents::Builder aTo);
+Readable<SharedConnectionState> Read(wire::ConnectionContents::Reader aFrom);
+
+void Fill(const LinkRequest& aFrom,
+          TimePoint aNow,
+          wire::Peer::OpenLinkParams::Builder aTo);
+Readable<LinkRequest> Read(wire::Peer::OpenLinkParams::Reader aFrom, TimePoint aNow);
+
+// The link itself is not converted.
+void Fill(const LinkOffer& aFrom,
+          TimePoint aNow,
+          wire::Peer::OpenLinkResults::Builder aTo);
+Readable<LinkOffer> Read(wire::Peer::OpenLinkResults::Reader aFrom, TimePoint aNow);
+
+} // namespace sesameway::peer
--- a/src/peer/Peer.h
+++ b/src/peer/Peer.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "peer/Link.h"
+
 #include "sesameway/GroupRequest.h"
 #include "sesameway/ObjectTransfer.h"
 
@@ -9,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace sesameway::peer {
@@ -138,6 +141,14 @@
   virtual void OnStandDown(const std::string& aGroup,
                            std::uint64_t aChange,
                            std::function<void()> aDone) = 0;
+  // Lends a connection to a database. Calls `aDone` once, on any thread. A handler that
+  // is no home of any database refuses.
+  virtual void OnOpenLink(LinkRequest, std::function<void(LinkOffer)> aDone)
+  {
+    LinkOffer offer;
+    offer.mRefusal = LinkRefusal::NotAHome;
+    aDone(std::move(offer));
+  }
 };
 
 struct HelloReply
@@ -198,6 +209,16 @@
                          std::uint64_t aChange,
                          TimePoint aDeadline,
                          std::function<void(bool)> aDone) = 0;
+  // Borrows a connection to a database from one of its homes. Passes no offer without
+  // an answer by the deadline, or from a peer of a former version or that answers with
+  // an error.
+  virtual void OpenLink(const std::string&,
+                        LinkRequest,
+                        TimePoint,
+                        std::function<void(std::optional<LinkOffer>)> aDone)
+  {
+    aDone(std::nullopt);
+  }
 };
 
 } // namespace sesameway::peer
--- /dev/null
+++ b/test/proxy/BorrowedLinkTest.cpp
@@ -0,0 +1,625 @@
+#include "peer.capnp.h"
+
+#include "peer/CapnpPeers.h"
+#include "proxy/FreeAddress.h"
+#include "proxy/NoPeerHandler.h"
+
+#include <capnp/ez-rpc.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <kj/async-io.h>
+
+#include <atomic>
+#include <mutex>
+#include <thread>
+
+using namespace sesameway;
+using namespace sesameway::peer;
+
+namespace {
+
+constexpr auto kPatience = seconds(5);
+
+template<typename Condition>
+void Await(const char* aWhat, Condition aCondition)
+{
+  auto until = Clock::now() + kPatience;
+  while (!aCondition()) {
+    CPPUNIT_ASSERT_MESSAGE(aWhat, Clock::now() < until);
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+}
+
+// A value that another thread sets, with the number of times that it was set.
+template<typename Value>
+class Slot
+{
+public:
+  void Set(Value aValue)
+  {
+    std::lock_guard lock(mMutex);
+    mValue = std::move(aValue);
+    ++mCount;
+  }
+  int Count() const
+  {
+    std::lock_guard lock(mMutex);
+    return mCount;
+  }
+  Value Wait(const char* aWhat)
+  {
+    Await(aWhat, [this] { return Count() > 0; });
+    std::lock_guard lock(mMutex);
+    mCount = 0;
+    return std::move(mValue);
+  }
+
+private:
+  mutable std::mutex mMutex;
+  Value mValue{};
+  int mCount = 0;
+};
+
+ConnectionReply Reply(ReplyCode aCode)
+{
+  ConnectionReply reply;
+  reply.mCode = aCode;
+  return reply;
+}
+
+// What has reached the home.
+struct HomeLog
+{
+  Slot<LinkRequest> mRequest;
+  Slot<std::vector<ConnectionCommand>> mCommands;
+  Slot<StatementTerms> mTerms;
+  // The callback of a batch, if mIsHeld.
+  Slot<LentLink::Replies> mHeld;
+  Slot<SharedConnectionState> mReturned;
+  std::atomic<int> mDropped{ 0 };
+  std::atomic<bool> mIsHeld{ false };
+  // Without replies, each command is answered with Done.
+  Slot<LinkReplies> mReplies;
+};
+
+class FakeLink : public LentLink
+{
+public:
+  explicit FakeLink(HomeLog* aLog)
+    : mLog(aLog)
+  {
+  }
+  ~FakeLink() noexcept override { mLog->mDropped += mIsReturned ? 0 : 1; }
+  void Send(std::vector<ConnectionCommand> aCommands,
+            StatementTerms aTerms,
+            Replies aDone) override
+  {
+    LinkReplies replies;
+    if (mLog->mReplies.Count() > 0) {
+      replies = mLog->mReplies.Wait("replies");
+    } else {
+      replies.mReplies.resize(aCommands.size(), Reply(ReplyCode::Done));
+    }
+    mLog->mCommands.Set(std::move(aCommands));
+    mLog->mTerms.Set(std::move(aTerms));
+    if (mLog->mIsHeld) {
+      mLog->mHeld.Set(std::move(aDone));
+      return;
+    }
+    aDone(std::move(replies));
+  }
+  void Return(SharedConnectionState aContents) override
+  {
+    mIsReturned = true;
+    mLog->mReturned.Set(std::move(aContents));
+  }
+
+private:
+  HomeLog* mLog;
+  bool mIsReturned = false;
+};
+
+class Home : public test::NoPeerHandler
+{
+public:
+  void OnOpenLink(LinkRequest aRequest, std::function<void(LinkOffer)> aDone) override
+  {
+    mLog.mRequest.Set(std::move(aRequest));
+    auto offer = mOffer;
+    if (offer.mRefusal == LinkRefusal::None) {
+      offer.mLink = std::make_shared<FakeLink>(&mLog);
+    }
+    if (mIsHeld) {
+      mHeld.Set([aDone, offer] { aDone(offer); });
+      return;
+    }
+    aDone(std::move(offer));
+  }
+
+  HomeLog mLog;
+  LinkOffer mOffer;
+  bool mIsHeld = false;
+  Slot<std::function<void()>> mHeld;
+};
+
+// A peer whose answers are filled in by a function on the wire's level.
+class RawLink final : public wire::Link::Server
+{
+public:
+  using Fill = std::function<void(wire::Link::SendResults::Builder)>;
+  explicit RawLink(Slot<Fill>* aFill)
+    : mFill(aFill)
+  {
+  }
+  kj::Promise<void> send(SendContext aContext) override
+  {
+    mFill->Wait("answer")(aContext.getResults());
+    return kj::READY_NOW;
+  }
+
+private:
+  Slot<Fill>* mFill;
+};
+
+class RawPeer final : public wire::Peer::Server
+{
+public:
+  explicit RawPeer(Slot<RawLink::Fill>* aFill)
+    : mFill(aFill)
+  {
+  }
+  kj::Promise<void> openLink(OpenLinkContext aContext) override
+  {
+    auto number = std::stoi(aContext.getParams().getDatabase().cStr());
+    aContext.getResults().setRefusal(number);
+    aContext.getResults().setLink(kj::heap<RawLink>(mFill));
+    return kj::READY_NOW;
+  }
+
+private:
+  Slot<RawLink::Fill>* mFill;
+};
+
+// A peer of a former version: a call that it does not know is UNIMPLEMENTED.
+class FormerPeer final : public wire::Peer::Server
+{
+public:
+  kj::Promise<void> primary(PrimaryContext) override { return kj::READY_NOW; }
+};
+
+class RawServer
+{
+public:
+  explicit RawServer(std::function<capnp::Capability::Client()> aMain)
+    : mThread([this, aMain] {
+      capnp::EzRpcServer server(aMain(), mAddress);
+      while (!mIsStopped) {
+        server.getIoProvider()
+          .getTimer()
+          .afterDelay(5 * kj::MILLISECONDS)
+          .wait(server.getWaitScope());
+      }
+    })
+  {
+  }
+  RawServer(const RawServer&) = delete;
+  RawServer& operator=(const RawServer&) = delete;
+  ~RawServer()
+  {
+    mIsStopped = true;
+    mThread.join();
+  }
+  const std::string mAddress = test::FreeAddress();
+
+private:
+  std::atomic<bool> mIsStopped{ false };
+  std::thread mThread;
+};
+
+StatementTerms TermsFor(Duration aTime)
+{
+  StatementTerms terms;
+  terms.mDeadline = Clock::now() + aTime;
+  return terms;
+}
+
+// Whether the times agree up to the time that a call takes on a busy machine.
+bool IsNear(TimePoint aExpected, TimePoint aTime)
+{
+  return aTime >= aExpected - milliseconds(1) && aTime <= aExpected + seconds(2);
+}
+
+} // namespace
+
+class BorrowedLinkTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(BorrowedLinkTest);
+  CPPUNIT_TEST(CommandsAndRepliesArriveWhole);
+  CPPUNIT_TEST(TermsArriveAsTimesOfTheReceiver);
+  CPPUNIT_TEST(ContentsArriveWhole);
+  CPPUNIT_TEST(ContentsBeyondTheLimitsAreUnknown);
+  CPPUNIT_TEST(ARefusalArrivesWithItsRetryTime);
+  CPPUNIT_TEST(ADropReachesTheHomeDuringABatch);
+  CPPUNIT_TEST(ABatchOfAHomeThatIsGoneIsLostOnce);
+  CPPUNIT_TEST(ABatchOfABorrowerThatStopsIsLostOnce);
+  CPPUNIT_TEST(ABatchWithoutAnAnswerIsLostOnce);
+  CPPUNIT_TEST(OnlyARefusalMayAnswerABatchWithOneReply);
+  CPPUNIT_TEST(ALateOfferIsReturned);
+  CPPUNIT_TEST(APeerOfAFormerVersionOffersNothing);
+  CPPUNIT_TEST(TheHomeRefusesMalformedBatches);
+  CPPUNIT_TEST(TheBorrowerRefusesMalformedAnswers);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override
+  {
+    mHomePeers = CapnpPeers::Start(mAddress, &mHome);
+    mPeers = CapnpPeers::Start("127.0.0.1:0", &mNoHandler);
+  }
+
+private:
+  std::optional<LinkOffer> Open(const std::string& aAddress,
+                                const std::string& aDatabase = "db",
+                                Duration aTimeout = kPatience)
+  {
+    Slot<std::optional<LinkOffer>> offer;
+    mPeers->OpenLink(aAddress,
+                     { aDatabase, "group", "org", TermsFor(kPatience) },
+                     Clock::now() + aTimeout,
+                     [&](auto aOffer) { offer.Set(std::move(aOffer)); });
+    return offer.Wait("offer");
+  }
+
+  std::shared_ptr<LentLink> OpenLink()
+  {
+    auto offer = Open(mAddress);
+    CPPUNIT_ASSERT(offer && offer->mLink);
+    return offer->mLink;
+  }
+
+  void Send(LentLink& aLink,
+            std::vector<ConnectionCommand> aCommands = { {} },
+            Duration aTimeout = kPatience)
+  {
+    aLink.Send(std::move(aCommands), TermsFor(aTimeout), [this](LinkReplies aReplies) {
+      mReplies.Set(std::move(aReplies));
+    });
+  }
+
+  void AssertLostOnce()
+  {
+    Await("lost", [&] { return mReplies.Count() > 0; });
+    std::this_thread::sleep_for(milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(1, mReplies.Count());
+    auto replies = mReplies.Wait("lost").mReplies;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, replies.size());
+    CPPUNIT_ASSERT(replies[0].mCode == ReplyCode::Lost && !replies[0].mRetryAt);
+  }
+
+  void AssertWorks(LentLink& aLink)
+  {
+    Send(aLink);
+    CPPUNIT_ASSERT(mReplies.Wait("replies").mReplies.at(0).mCode == ReplyCode::Done);
+  }
+
+  // Guards against a field or number of a command or reply that is not converted.
+  void CommandsAndRepliesArriveWhole()
+  {
+    std::vector<ConnectionCommand> commands;
+    LinkReplies replies{ {}, milliseconds(7) };
+    auto retryAt = Clock::now() + seconds(10);
+    for (std::size_t n = 0; n < kReplyCodeNames.mNames.size(); ++n) {
+      auto text = std::string("t\0\xff", 3) + std::to_string(n);
+      auto kind = static_cast<CommandKind>(n % kCommandKindNames.mNames.size());
+      commands.push_back({ kind, "i" + text, text, "n" + text, n % 2 == 0, {}, n });
+      replies.mReplies.push_back(Reply(static_cast<ReplyCode>(n)));
+      replies.mReplies[n].mDetail = "d" + text;
+      replies.mReplies[n].mRows = { text, "" };
+      replies.mReplies[n].mDigest = "x" + text;
+      replies.mReplies[n].mTransaction = static_cast<TransactionState>(n % 3);
+      if (n % 2 == 0) {
+        commands[n].mAfter = LogPosition{ n / 2, n };
+        replies.mReplies[n].mPosition = LogPosition{ n / 2, n };
+        replies.mReplies[n].mRetryAt = n == 0 ? Clock::now() - seconds(1) : retryAt;
+      }
+    }
+    mHome.mLog.mReplies.Set(replies);
+    auto link = OpenLink();
+    Send(*link, commands);
+    auto got = mReplies.Wait("replies");
+    auto gotCommands = mHome.mLog.mCommands.Wait("commands");
+    CPPUNIT_ASSERT(got.mExpectedWait == milliseconds(7));
+    CPPUNIT_ASSERT_EQUAL(commands.size(), gotCommands.size());
+    CPPUNIT_ASSERT_EQUAL(commands.size(), got.mReplies.size());
+    for (std::size_t n = 0; n < commands.size(); ++n) {
+      const auto& a = commands[n];
+      const auto& b = gotCommands[n];
+      CPPUNIT_ASSERT(a.mKind == b.mKind && a.mId == b.mId && a.mText == b.mText);
+      CPPUNIT_ASSERT(a.mName == b.mName && a.mPreparesWrite == b.mPreparesWrite);
+      CPPUNIT_ASSERT(a.mAfter == b.mAfter && a.mTerm == b.mTerm);
+      const auto& c = replies.mReplies[n];
+      const auto& d = got.mReplies[n];
+      CPPUNIT_ASSERT(c.mCode == d.mCode && c.mDetail == d.mDetail &&
+                     c.mRows == d.mRows);
+      CPPUNIT_ASSERT(c.mDigest == d.mDigest && c.mTransaction == d.mTransaction);
+      CPPUNIT_ASSERT(c.mPosition == d.mPosition);
+      CPPUNIT_ASSERT_EQUAL(c.mRetryAt.has_value(), d.mRetryAt.has_value());
+      CPPUNIT_ASSERT(!c.mRetryAt || n == 0 || IsNear(*c.mRetryAt, *d.mRetryAt));
+    }
+  }
+
+  // Guards against an expired goal that is taken for none, and against a time without
+  // limit that overflows.
+  void TermsArriveAsTimesOfTheReceiver()
+  {
+    auto link = OpenLink();
+    auto now = Clock::now();
+    StatementTerms terms{
+      7, now + seconds(10), now + seconds(20), true, "org", "class"
+    };
+    auto pass = [&] {
+      link->Send({ {} }, terms, [this](auto aReplies) { mReplies.Set(aReplies); });
+      mReplies.Wait("replies");
+      return mHome.mLog.mTerms.Wait("terms");
+    };
+    auto got = pass();
+    CPPUNIT_ASSERT(got.mPriority == 7 && got.mIsInTransaction);
+    CPPUNIT_ASSERT(got.mOrganisation == "org" && got.mCostClass == "class");
+    CPPUNIT_ASSERT(IsNear(terms.mGoalAt, got.mGoalAt));
+    CPPUNIT_ASSERT(IsNear(terms.mDeadline, got.mDeadline));
+    terms.mGoalAt = now - seconds(1);
+    CPPUNIT_ASSERT(IsNear(now, pass().mGoalAt));
+    terms.mGoalAt = terms.mDeadline = TimePoint::max();
+    got = pass();
+    CPPUNIT_ASSERT(got.mGoalAt == TimePoint::max());
+    CPPUNIT_ASSERT(got.mDeadline == TimePoint::max());
+  }
+
+  // Guards against session values or prepared statements that a session finds on a
+  // connection that was lent, because their description did not arrive.
+  void ContentsArriveWhole()
+  {
+    SharedConnectionState contents(
+      { { "a", "1" }, { "b", "" } },
+      { { { true, "w" }, "p4" }, { { false, "w" }, "p5" } });
+    mHome.mOffer.mContents = contents;
+    auto offer = Open(mAddress);
+    auto request = mHome.mLog.mRequest.Wait("request");
+    CPPUNIT_ASSERT(request.mDatabase == "db" && request.mGroup == "group");
+    CPPUNIT_ASSERT(request.mOrganisation == "org");
+    CPPUNIT_ASSERT(offer->mContents.Values() == contents.Values());
+    CPPUNIT_ASSERT(offer->mContents.Prepared() == contents.Prepared());
+    CPPUNIT_ASSERT(!offer->mContents.IsUnknown());
+    contents.SetUnknown();
+    offer->mLink->Return(contents);
+    auto returned = mHome.mLog.mReturned.Wait("return");
+    CPPUNIT_ASSERT(returned.Values() == contents.Values());
+    CPPUNIT_ASSERT(returned.Prepared() == contents.Prepared());
+    CPPUNIT_ASSERT(returned.IsUnknown());
+    offer.reset();
+    AssertWorks(*OpenLink());
+    Await("drop of the second link", [&] { return mHome.mLog.mDropped == 1; });
+  }
+
+  // Guards against a connection that is closed at each return, because a session has
+  // prepared more than a message may contain.
+  void ContentsBeyondTheLimitsAreUnknown()
+  {
+    SessionValues values;
+    for (int n = 0; n < 300; ++n) {
+      values[std::to_string(n)] = "v";
+    }
+    for (const auto& it : { values, { { "a", std::string((1 << 20) + 1, 'x') } } }) {
+      OpenLink()->Return(SharedConnectionState(it, {}));
+      CPPUNIT_ASSERT(mHome.mLog.mReturned.Wait("return").IsUnknown());
+    }
+    CPPUNIT_ASSERT_EQUAL(0, mHome.mLog.mDropped.load());
+  }
+
+  // Guards against a refusal that arrives as another one, or without the time after
+  // which the home expects the request again.
+  void ARefusalArrivesWithItsRetryTime()
+  {
+    for (std::size_t n = 1; n < kLinkRefusalNames.mNames.size(); ++n) {
+      mHome.mOffer.mRefusal = static_cast<LinkRefusal>(n);
+      mHome.mOffer.mRetryAt = Clock::now() + seconds(10 * n);
+      mHome.mOffer.mExpectedWait = milliseconds(n);
+      auto offer = Open(mAddress);
+      CPPUNIT_ASSERT(offer && !offer->mLink);
+      CPPUNIT_ASSERT(offer->mRefusal == mHome.mOffer.mRefusal);
+      CPPUNIT_ASSERT(IsNear(mHome.mOffer.mRetryAt, offer->mRetryAt));
+      CPPUNIT_ASSERT(offer->mExpectedWait == milliseconds(n));
+    }
+    mHome.mOffer.mRetryAt = {};
+    CPPUNIT_ASSERT(Open(mAddress)->mRetryAt == TimePoint{});
+    // A handler that lends nothing refuses by default.
+    auto other = test::FreeAddress();
+    auto peers = CapnpPeers::Start(other, &mNoHandler);
+    CPPUNIT_ASSERT(Open(other)->mRefusal == LinkRefusal::NotAHome);
+  }
+
+  // Guards against a batch that keeps its link and its place in the queue of the home
+  // after the borrower has dropped the link.
+  void ADropReachesTheHomeDuringABatch()
+  {
+    mHome.mLog.mIsHeld = true;
+    auto link = OpenLink();
+    Send(*link);
+    Await("batch", [&] { return mHome.mLog.mHeld.Count() == 1; });
+    link.reset();
+    Await("drop", [&] { return mHome.mLog.mDropped == 1; });
+    mHome.mLog.mHeld.Wait("batch")({});
+    AssertLostOnce();
+    CPPUNIT_ASSERT_EQUAL(0, mHome.mLog.mReturned.Count());
+  }
+
+  // Guards against a borrower that waits until the deadline for a home that is gone.
+  void ABatchOfAHomeThatIsGoneIsLostOnce()
+  {
+    mHome.mLog.mIsHeld = true;
+    auto link = OpenLink();
+    Send(*link, { {} }, std::chrono::hours(1));
+    Await("batch", [&] { return mHome.mLog.mHeld.Count() == 1; });
+    mHomePeers.reset();
+    AssertLostOnce();
+    Send(*link, { {} }, std::chrono::hours(1));
+    AssertLostOnce();
+  }
+
+  // Guards against a batch without a reply, or a use of the capability on another
+  // thread, when the link is dropped after the peers; and against a home that keeps the
+  // link of a borrower that is gone.
+  void ABatchOfABorrowerThatStopsIsLostOnce()
+  {
+    mHome.mLog.mIsHeld = true;
+    auto link = OpenLink();
+    Send(*link);
+    Await("batch", [&] { return mHome.mLog.mHeld.Count() == 1; });
+    mPeers.reset();
+    AssertLostOnce();
+    Await("drop", [&] { return mHome.mLog.mDropped == 1; });
+    Send(*link);
+    AssertLostOnce();
+  }
+
+  // Guards against a caller that waits for ever for a frozen home, and against a second
+  // reply when the answer comes late.
+  void ABatchWithoutAnAnswerIsLostOnce()
+  {
+    mHome.mLog.mIsHeld = true;
+    auto link = OpenLink();
+    auto start = Clock::now();
+    Send(*link, { {} }, milliseconds(50));
+    Await("lost", [&] { return mReplies.Count() > 0; });
+    CPPUNIT_ASSERT(Clock::now() - start >= milliseconds(50));
+    LinkReplies late;
+    late.mReplies.push_back(Reply(ReplyCode::Done));
+    mHome.mLog.mHeld.Wait("batch")(late);
+    AssertLostOnce();
+    // The state of the connection is unknown, so that the link runs nothing more.
+    Await("drop", [&] { return mHome.mLog.mDropped == 1; });
+    mHome.mLog.mIsHeld = false;
+    Send(*link);
+    AssertLostOnce();
+  }
+
+  // Guards against replies that are assigned to the wrong commands.
+  void OnlyARefusalMayAnswerABatchWithOneReply()
+  {
+    LinkReplies one;
+    one.mReplies.push_back(Reply(ReplyCode::Busy));
+    mHome.mLog.mReplies.Set(one);
+    Send(*OpenLink(), { {}, {} });
+    AssertLostOnce();
+    one.mReplies.resize(3);
+    mHome.mLog.mReplies.Set(one);
+    Send(*OpenLink(), { {}, {} });
+    AssertLostOnce();
+    auto link = OpenLink();
+    one.mReplies.resize(1);
+    one.mReplies[0].mRetryAt = Clock::now() + seconds(1);
+    mHome.mLog.mReplies.Set(one);
+    Send(*link, { {}, {} });
+    auto replies = mReplies.Wait("replies").mReplies;
+    CPPUNIT_ASSERT(replies.size() == 1 && replies[0].mCode == ReplyCode::Busy);
+    AssertWorks(*link);
+  }
+
+  // Guards against connections that are closed unused, because a busy home opened them
+  // after the borrower had asked the next home.
+  void ALateOfferIsReturned()
+  {
+    mHome.mIsHeld = true;
+    CPPUNIT_ASSERT(!Open(mAddress, "db", milliseconds(100)));
+    // The cancellation follows the borrower's deadline.
+    std::this_thread::sleep_for(milliseconds(100));
+    mHome.mHeld.Wait("offer")();
+    mHome.mLog.mReturned.Wait("return");
+    CPPUNIT_ASSERT_EQUAL(0, mHome.mLog.mDropped.load());
+  }
+
+  // Guards against an error of a peer of a former version that is taken for an offer or
+  // never reported during a rolling upgrade.
+  void APeerOfAFormerVersionOffersNothing()
+  {
+    RawServer server([] { return kj::heap<FormerPeer>(); });
+    auto isAnswering = [&] {
+      Slot<bool> isAnswered;
+      mPeers->Primary(server.mAddress,
+                      "group",
+                      Clock::now() + kPatience,
+                      [&](auto aHint) { isAnswered.Set(aHint.has_value()); });
+      return isAnswered.Wait("primary");
+    };
+    Await("server", isAnswering);
+    auto start = Clock::now();
+    CPPUNIT_ASSERT(!Open(server.mAddress));
+    CPPUNIT_ASSERT(Clock::now() - start < kPatience);
+    CPPUNIT_ASSERT(isAnswering());
+  }
+
+  // Guards against a message that terminates the home or ends its connections.
+  void TheHomeRefusesMalformedBatches()
+  {
+    capnp::EzRpcClient client(mAddress);
+    auto& scope = client.getWaitScope();
+    auto open = client.getMain<wire::Peer>().openLinkRequest().send().wait(scope);
+    auto link = open.getLink();
+    auto isRefused = [&](unsigned aCommands, int aKind, std::size_t aBytes) {
+      auto call = link.sendRequest();
+      auto commands = call.initCommands(aCommands);
+      commands[0].setKind(aKind);
+      commands[0].setName(std::string(aBytes, 'x'));
+      call.initTerms().setDeadlineUs(~std::uint64_t{ 0 });
+      auto answer = call.send().then([](auto) { return false; },
+                                     [](kj::Exception&&) { return true; });
+      return answer.wait(scope);
+    };
+    CPPUNIT_ASSERT(isRefused(1, 13, 0));
+    CPPUNIT_ASSERT(isRefused(1, 255, 0));
+    CPPUNIT_ASSERT(isRefused(65, 0, 0));
+    CPPUNIT_ASSERT(isRefused(1, 0, (1 << 20) + 1));
+    CPPUNIT_ASSERT_EQUAL(0, mHome.mLog.mCommands.Count());
+    CPPUNIT_ASSERT(!isRefused(64, 12, 1 << 20));
+    // One batch at a time.
+    mHome.mLog.mIsHeld = true;
+    auto first = link.sendRequest().send();
+    CPPUNIT_ASSERT(isRefused(1, 0, 0));
+  }
+
+  // Guards against an answer that terminates the borrower, passes on an invalid number
+  // or ends the connection.
+  void TheBorrowerRefusesMalformedAnswers()
+  {
+    Slot<RawLink::Fill> fill;
+    RawServer server([&] { return kj::heap<RawPeer>(&fill); });
+    Await("server", [&] { return Open(server.mAddress, "0").has_value(); });
+    CPPUNIT_ASSERT(!Open(server.mAddress, "5"));
+    CPPUNIT_ASSERT(!Open(server.mAddress, "255"));
+    std::vector<RawLink::Fill> malformed{
+      [](auto aTo) { aTo.initReplies(1)[0].setCode(16); },
+      [](auto aTo) { aTo.initReplies(1)[0].setTransaction(3); },
+      [](auto aTo) { aTo.initReplies(65); },
+      [](auto aTo) { aTo.initReplies(1)[0].initRows(1).init(0, (1 << 20) + 1); },
+    };
+    for (const auto& it : malformed) {
+      fill.Set(it);
+      Send(*Open(server.mAddress, "0")->mLink);
+      AssertLostOnce();
+    }
+    auto link = Open(server.mAddress, "0")->mLink;
+    // What the peer would refuse is not sent.
+    Send(*link, std::vector<ConnectionCommand>(65));
+    AssertLostOnce();
+    fill.Set([](auto aTo) { aTo.initReplies(1); });
+    AssertWorks(*link);
+  }
+
+  Home mHome;
+  test::NoPeerHandler mNoHandler;
+  std::string mAddress = test::FreeAddress();
+  std::unique_ptr<CapnpPeers> mHomePeers;
+  std::unique_ptr<CapnpPeers> mPeers;
+  Slot<LinkReplies> mReplies;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BorrowedLinkTest);
--- a/test/proxy/PeersTest.cpp
+++ b/test/proxy/PeersTest.cpp
@@ -1,4 +1,5 @@
 #include "peer/CapnpPeers.h"
+#include "proxy/NoPeerHandler.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -11,30 +12,10 @@
 #include <thread>
 
 using namespace sesameway;
+using test::NoPeerHandler;
 
 namespace {
 
-// A peer that offers nothing: these tests cover the calling side.
-class NoHandler : public peer::Handler
-{
-public:
-  peer::Member OnHello(const peer::Member&, bool*) override { return {}; }
-  void OnExecute(GroupRequest, peer::AnswerCallback) override {}
-  void OnBegin(GroupRequest, peer::BeginCallback) override {}
-  peer::CatalogueDelta OnCatalogue(const peer::CatalogueQuery&) override { return {}; }
-  peer::TokenGrant OnTakeTokens(const std::string&, std::uint64_t, double) override
-  {
-    return {};
-  }
-  peer::PrimaryHint OnPrimary(const std::string&) override { return {}; }
-  peer::PrimaryHints OnPrimaries(const std::vector<std::string>&) override
-  {
-    return {};
-  }
-  void OnAnnounce(const std::string&, const peer::PrimaryHint&) override {}
-  void OnStandDown(const std::string&, std::uint64_t, std::function<void()>) override {}
-};
-
 // Accepts connections on a loopback port and answers nothing.
 class SilentServer
 {
@@ -93,7 +74,7 @@
   {
     constexpr int kGroups = 100;
     SilentServer server;
-    NoHandler handler;
+    NoPeerHandler handler;
     auto peers = peer::CapnpPeers::Start("127.0.0.1:0", &handler);
     std::atomic<int> ended{ 0 };
     auto deadline = Clock::now() + milliseconds(400);
