StatementQueue tests: charges, claims and bounds of fair queueing

Seven rules could be removed without a failing test: the charge of measured time, its bound, the claim to unused time, the bound on catching up, the fair estimate of the backlog, overdue statements and the horizon of retry times.

--- a/test/core/StatementQueueTest.cpp
+++ b/test/core/StatementQueueTest.cpp
@@ -1,4 +1,5 @@
 #include "sesameway/StatementQueue.h"
+#include "sesameway/RetryTimes.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
@@ -298,6 +299,12 @@
   CPPUNIT_TEST(LimitOfZeroStartsNothing);
   CPPUNIT_TEST(OpeningConnectionsOccupySlots);
   CPPUNIT_TEST(CostsAreKeptForTheLatestClasses);
+  CPPUNIT_TEST(OverdueStatementIsExpectedToTakeLonger);
+  CPPUNIT_TEST(RetryTimesAreBoundedAndByPriority);
+  CPPUNIT_TEST(OrganisationIsChargedForWhatItUsed);
+  CPPUNIT_TEST(OrganisationHasNoClaimToUnusedTime);
+  CPPUNIT_TEST(OrganisationThatWasPassedOverCatchesUpInPart);
+  CPPUNIT_TEST(BacklogOfAnotherOrganisationRefusesNothing);
   CPPUNIT_TEST(FullQueueTakesAnUrgentStatement);
   CPPUNIT_TEST(BurstOfOneKind);
   CPPUNIT_TEST(OrganisationAtTenTimesItsRate);
@@ -397,6 +404,129 @@
     CPPUNIT_ASSERT(costs.Find("0").mCost == StatementCosts::kDefaultCost);
   }
 
+  // Guards against statements sent to a database that has stopped answering.
+  void OverdueStatementIsExpectedToTakeLonger()
+  {
+    StatementQueue queue(1);
+    queue.Add(1, Terms(0, "a"), kStart);
+    CPPUNIT_ASSERT(queue.ExpectedWait(Terms(0, "b"), kStart) == milliseconds(20));
+    auto late = kStart + milliseconds(50);
+    CPPUNIT_ASSERT(queue.ExpectedWait(Terms(0, "b"), late) == milliseconds(30));
+  }
+
+  // Guards against retry times that move away for as long as an overload lasts, and
+  // against urgent callers that wait behind refusals of less urgent ones.
+  void RetryTimesAreBoundedAndByPriority()
+  {
+    RetryTimes times;
+    auto latest = kStart;
+    for (int n = 0; n < 2000; ++n) {
+      latest = std::max(latest, times.Take(2, kStart, milliseconds(10), kStart));
+    }
+    CPPUNIT_ASSERT(latest == kStart + seconds(5));
+    CPPUNIT_ASSERT(times.Take(0, kStart, milliseconds(10), kStart) == kStart);
+  }
+
+  // Ends `aRunning` and what is started after it, each after 20 ms, and returns the
+  // organisations of the next `aCount` starts; odd tickets are of "a".
+  static std::string NextStarts(StatementQueue& aQueue,
+                                std::uint64_t aRunning,
+                                std::size_t aCount,
+                                TimePoint& aNow)
+  {
+    std::string organisations;
+    while (organisations.size() < aCount) {
+      aRunning = Started(aQueue.OnEnded(aRunning, false, aNow)).at(0);
+      organisations += aRunning % 2 == 1 ? 'a' : 'b';
+      aNow += milliseconds(20);
+    }
+    return organisations;
+  }
+
+  // Guards against an organisation that is charged an estimate for long statements, and
+  // against one that is shut out after a lost answer.
+  void OrganisationIsChargedForWhatItUsed()
+  {
+    StatementQueue queue(1);
+    queue.Add(1, Terms(0, "a"), kStart);
+    queue.Add(3, Terms(0, "a"), kStart);
+    for (std::uint64_t n = 2; n <= 60; n += 2) {
+      queue.Add(n, Terms(0, "b", seconds(10), "get"), kStart + milliseconds(1));
+    }
+    auto now = kStart + seconds(3);
+    for (std::uint64_t n = 5; n <= 19; n += 2) {
+      queue.Add(n, Terms(0, "a"), now);
+    }
+    // The organisations take turns after 240 ms of "b"; before, "a" has two guaranteed
+    // starts.
+    CPPUNIT_ASSERT_EQUAL(std::string("bbbbbbabbbbbbbabababa"),
+                         NextStarts(queue, 1, 21, now));
+  }
+
+  // Guards against an organisation that was idle and then takes all slots.
+  void OrganisationHasNoClaimToUnusedTime()
+  {
+    StatementQueue queue(1);
+    for (std::uint64_t n = 1; n <= 79; n += 2) {
+      queue.Add(n, Terms(0, "a"), kStart);
+    }
+    auto now = kStart + milliseconds(20);
+    NextStarts(queue, 1, 1, now);
+    auto running = std::uint64_t{ 3 };
+    for (int n = 0; n < 20; ++n) {
+      running = Started(queue.OnEnded(running, false, now)).at(0);
+      now += milliseconds(20);
+    }
+    for (std::uint64_t n = 2; n <= 40; n += 2) {
+      queue.Add(n, Terms(0, "b"), now);
+    }
+    auto starts = NextStarts(queue, running, 12, now);
+    CPPUNIT_ASSERT(std::count(starts.begin(), starts.end(), 'b') <= 6);
+  }
+
+  // Guards against an organisation that shuts out the others after its late statements
+  // were passed over.
+  void OrganisationThatWasPassedOverCatchesUpInPart()
+  {
+    StatementQueue queue(1);
+    queue.Add(2, Terms(0, "b"), kStart);
+    auto terms = Terms(0, "a");
+    terms.mGoalAt = kStart;
+    for (std::uint64_t n = 1; n <= 99; n += 2) {
+      queue.Add(n, terms, kStart);
+    }
+    terms = Terms(0, "b");
+    terms.mGoalAt = kStart + seconds(1);
+    for (std::uint64_t n = 4; n <= 200; n += 2) {
+      queue.Add(n, terms, kStart);
+    }
+    auto now = kStart + milliseconds(20);
+    std::uint64_t running = 2;
+    while (now < kStart + seconds(1)) {
+      running = Started(queue.OnEnded(running, false, now)).at(0);
+      now += milliseconds(20);
+    }
+    // 200 ms are 10 statements.
+    auto starts = NextStarts(queue, running, 24, now);
+    CPPUNIT_ASSERT(std::count(starts.begin(), starts.end(), 'b') >= 5);
+  }
+
+  // Guards against refusals because of statements that would run later, and against
+  // acceptance of those that would not be served in time.
+  void BacklogOfAnotherOrganisationRefusesNothing()
+  {
+    StatementQueue queue(1);
+    for (std::uint64_t n = 0; n < 100; ++n) {
+      queue.Add(n, Terms(1, "heavy"), kStart);
+    }
+    queue.Add(100, Terms(1, "light"), kStart);
+    auto timeout = milliseconds(200);
+    CPPUNIT_ASSERT(!queue.RefusedUntil(Terms(1, "light", timeout), kStart));
+    CPPUNIT_ASSERT(!queue.RefusedUntil(Terms(0, "heavy", timeout), kStart));
+    auto until = queue.RefusedUntil(Terms(1, "heavy", timeout), kStart);
+    CPPUNIT_ASSERT(until == kStart + milliseconds(2020));
+  }
+
   // Guards against a queue filled by one kind of low priority, so that all others are
   // refused on arrival. Load pattern: a burst on a full queue.
   void FullQueueTakesAnUrgentStatement()
