ConcurrencyLimit: tests of a slow server that restarts, and bounded waits in tests

Without the lowering for slowness the test waited forever instead of failing, and no test failed if slow answers did not raise the limit to its bound. Waits now end after a second, and two cases cover the bound from below.

--- a/src/core/ConcurrencyLimit.cpp
+++ b/src/core/ConcurrencyLimit.cpp
@@ -13,7 +13,7 @@
 constexpr std::size_t kFirstTimes = 24;
 // Fastest change of a usual time, per second. A server five times slower for 6 s
 // changes it by an eighth; work that has become five times dearer for good counts as
-// slow for less than a minute.
+// slow for about a minute.
 constexpr double kDriftPerSecond = 0.02;
 // Largest change of a usual time by one answer, for classes that are rarely used.
 constexpr double kLargestDrift = 1.0 / 32;
--- a/test/core/ConcurrencyLimitTest.cpp
+++ b/test/core/ConcurrencyLimitTest.cpp
@@ -69,6 +69,17 @@
       mOnStep();
     }
   }
+  // Runs until the limit is at its maximum or not, for a second at most.
+  void RunUntilFull(bool aIsFull)
+  {
+    for (auto end = mNow + seconds(1); mNow < end;) {
+      if ((mLimit.Limit() == kSlots) == aIsFull) {
+        return;
+      }
+      Run(kStep);
+    }
+    CPPUNIT_FAIL("the limit did not change within a second");
+  }
   void BreakConnections()
   {
     while (!mRunning.empty()) {
@@ -179,6 +190,7 @@
   CPPUNIT_TEST(ColdStartUnderAFullQueue);
   CPPUNIT_TEST(FullLimitAfterTheDerivedAnswers);
   CPPUNIT_TEST(AServerFiveTimesSlowerKeepsHalf);
+  CPPUNIT_TEST(ASlowServerThatRestartsIsGivenHalf);
   CPPUNIT_TEST(ASlowServerOfOneClassIsNoticed);
   CPPUNIT_TEST(OneSlowCostClassDoesNotLower);
   CPPUNIT_TEST(AServerDownAndUpByTurns);
@@ -221,9 +233,7 @@
   {
     Model model(1);
     model.mHasTail = false;
-    while (model.mLimit.Limit() < kSlots) {
-      model.Run(kStep);
-    }
+    model.RunUntilFull(true);
     CPPUNIT_ASSERT_EQUAL(kRampAnswers, model.mGood);
     // Three times of the most expensive class.
     CPPUNIT_ASSERT(model.mNow <= kStart + 3 * milliseconds(42));
@@ -238,9 +248,7 @@
       model.WarmUp();
       model.mSlowness = 5;
       auto before = model.mGood;
-      while (model.mLimit.Limit() == kSlots) {
-        model.Run(kStep);
-      }
+      model.RunUntilFull(false);
       auto noticed = model.mGood - before;
       CPPUNIT_ASSERT(noticed <= 4 * kSlots);
       std::size_t steps = 0;
@@ -258,6 +266,24 @@
     }
   }
 
+  // Guards against a slow server that is left idle after a restart, or flooded. Load:
+  // full queue; the server restarts and is five times slower for 6 s after that.
+  void ASlowServerThatRestartsIsGivenHalf()
+  {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      Model model(seed);
+      model.WarmUp();
+      model.BreakConnections();
+      model.mSlowness = 5;
+      model.mLimit.Restart(model.mNow);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, model.mLimit.Limit());
+      // It takes up to two seconds until enough answers have come.
+      model.Run(seconds(2));
+      model.mOnStep = [&] { CPPUNIT_ASSERT_EQUAL(kSlots / 2, model.mLimit.Limit()); };
+      model.Run(seconds(4));
+    }
+  }
+
   // Guards against a slow server that is not noticed because it runs one class only.
   // Load: full queue, one class, five times slower.
   void ASlowServerOfOneClassIsNoticed()
@@ -276,6 +302,13 @@
       answer(milliseconds(100));
     }
     CPPUNIT_ASSERT_EQUAL(kSlots / 2, limit.Limit());
+    // Slow answers raise the limit again to half of the maximum, and no further.
+    limit.OnResult("read", milliseconds(1), Outcome::Refused, 3, now + milliseconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, limit.Limit());
+    for (int n = 0; n < 10; ++n) {
+      answer(milliseconds(100));
+    }
+    CPPUNIT_ASSERT_EQUAL(kSlots / 2, limit.Limit());
   }
 
   // Guards against expensive work that is mistaken for a slow server. Load: full queue;
@@ -314,9 +347,7 @@
       CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, model.mLimit.Limit());
       model.mIsDown = false;
       auto good = model.mGood;
-      while (model.mLimit.Limit() < kSlots) {
-        model.Run(kStep);
-      }
+      model.RunUntilFull(true);
       CPPUNIT_ASSERT(model.mGood - good <= kRampAnswers);
       model.Run(seconds(1));
     }
@@ -335,9 +366,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, model.mLimit.Limit());
     model.mIsRefusing = false;
     auto good = model.mGood;
-    while (model.mLimit.Limit() < kSlots) {
-      model.Run(kStep);
-    }
+    model.RunUntilFull(true);
     CPPUNIT_ASSERT(model.mGood - good <= kRampAnswers);
   }
 
