A daemon states its speed in its member record

The settings file has the share of a core that the process gets (limits.cpuShare) and how fast such a core is (limits.vcpus). Their product is the speed; where one is missing, is no number, or the product is outside 0.01 to 64, the speed is 0.25. A wrong value must not stop a daemon, as the speed only decides how many databases it is home of.

Tests: speed in the settings with nine invalid cases, and the record that a daemon writes.

--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -54,8 +54,12 @@
            mSettings.mPeerAddress,
            aIncarnation,
            false }
-  , mOwnRecord(FormatMemberRecord(
-      { mSelf.mName, mSelf.mZone, mSelf.mAddress, mSelf.mIncarnation, false }))
+  , mOwnRecord(FormatMemberRecord({ mSelf.mName,
+                                    mSelf.mZone,
+                                    mSelf.mAddress,
+                                    mSelf.mIncarnation,
+                                    false,
+                                    mSettings.mSpeed }))
   , mWorkers(kWorkerThreads)
   , mAdmission(std::make_shared<daemon::FleetAdmission>(mWorkers, mMetrics, mSelf))
   , mShareKeeper(std::make_shared<daemon::ShareKeeper>(mWorkers,
--- a/src/proxy/Settings.h
+++ b/src/proxy/Settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "sesameway/Membership.h"
 #include "sesameway/Time.h"
 
 #include <cstdint>
@@ -16,6 +17,8 @@
   std::string mZone;
   // Maps each availability zone to its region.
   std::map<std::string, std::string> mRegions;
+  // Processing speed of the VM, as a share of a core.
+  double mSpeed = kDefaultSpeed;
   std::string mCallerAddress;
   std::string mReadyAddress;
   std::string mPeerAddress;
--- a/test/platform/ObjectStoreTest.cpp
+++ b/test/platform/ObjectStoreTest.cpp
@@ -388,6 +388,7 @@
   CPPUNIT_TEST(ReadsADatabase);
   CPPUNIT_TEST(RejectsEntriesThatNameNoDatabase);
   CPPUNIT_TEST(ReadsSettings);
+  CPPUNIT_TEST(ReadsSpeedFromSettings);
   CPPUNIT_TEST(ReportsAllErrorsInSettings);
   CPPUNIT_TEST_SUITE_END();
 
@@ -452,6 +453,36 @@
     CPPUNIT_ASSERT(settings->mGrace < seconds(6));
   }
 
+  // Guards against a mistaken limit that stops the daemon, or makes it home of all
+  // databases or of none.
+  void ReadsSpeedFromSettings()
+  {
+    auto speedWith = [](const std::string& aLimits) {
+      return ReadSettings(
+               R"({"nodeName":"f1","zone":"z","ip":"10.0.0.1","zones":{"z":"r"},
+                   "listen":{"front":"10.0.0.1:1","ready":"10.0.0.1:2"},
+                   "portRange":[7560,7575],"parameters":{"graceS":6},
+                   "platform":{"addr":"10.0.0.9:4"},"cloud":{"addr":"10.0.0.9:5"},
+                   "limits":)" +
+               aLimits + "}")
+        ->mSpeed;
+    };
+    CPPUNIT_ASSERT_EQUAL(0.75, speedWith(R"({"cpuShare":0.5,"vcpus":1.5})"));
+    CPPUNIT_ASSERT_EQUAL(64.0, speedWith(R"({"cpuShare":64,"vcpus":1})"));
+    CPPUNIT_ASSERT_EQUAL(0.01, speedWith(R"({"cpuShare":0.01,"vcpus":1})"));
+    for (const auto* it : { "{}",
+                            "null",
+                            "7",
+                            R"({"cpuShare":0.5})",
+                            R"({"vcpus":2})",
+                            R"({"cpuShare":"0.5","vcpus":2})",
+                            R"({"cpuShare":65,"vcpus":1})",
+                            R"({"cpuShare":0.009,"vcpus":1})",
+                            R"({"cpuShare":-1,"vcpus":-1})" }) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it, 0.25, speedWith(it));
+    }
+  }
+
   void ReportsAllErrorsInSettings()
   {
     auto settings = ReadSettings(R"({"nodeName":"f1","listen":{"front":"nowhere"}})");
--- a/test/proxy/ProxyDaemon.h
+++ b/test/proxy/ProxyDaemon.h
@@ -162,6 +162,9 @@
   }
 };
 
+// Speed in the settings of each ProxyDaemon.
+inline constexpr double kProxySpeed = 0.75;
+
 // A daemon in this process, with its own fake store. It is never destroyed, because its
 // worker threads refer to it until the process ends.
 class ProxyDaemon
@@ -176,6 +179,7 @@
     Settings settings;
     settings.mName = aName;
     settings.mZone = "z";
+    settings.mSpeed = kProxySpeed;
     settings.mRegions["z"] = "r";
     settings.mPeerAddress = aAddress;
     settings.mSeedPeerAddresses = std::move(aSeeds);
