--- a/src/peer/CapnpLinks.h
+++ b/src/peer/CapnpLinks.h
@@ -50,7 +50,7 @@
 // The links that this daemon has borrowed. Holds their capabilities, which must not
 // leave the event loop thread; the objects that borrowers have name a link by its
 // number. All functions are called on the event loop thread.
-class BorrowedLinks : private kj::TaskSet::ErrorHandler
+class BorrowedLinks final : private kj::TaskSet::ErrorHandler
 {
 public:
   BorrowedLinks(kj::Timer* aTimer, TaskQueuePtr aTaskQueue);
