BorrowedLinkTest: keep the link while its batch runs

A link dropped right after Send ends its batch with Lost, so that the cases for a wrong number of replies and for malformed answers passed without the checks that they guard. A batch that the home wrongly accepts ends after 5 s instead of hanging.

--- a/test/proxy/BorrowedLinkTest.cpp
+++ b/test/proxy/BorrowedLinkTest.cpp
@@ -508,13 +508,15 @@
     LinkReplies one;
     one.mReplies.push_back(Reply(ReplyCode::Busy));
     mHome.mLog.mReplies.Set(one);
-    Send(*OpenLink(), { {}, {} });
+    auto link = OpenLink();
+    Send(*link, { {}, {} });
     AssertLostOnce();
     one.mReplies.resize(3);
     mHome.mLog.mReplies.Set(one);
-    Send(*OpenLink(), { {}, {} });
+    link = OpenLink();
+    Send(*link, { {}, {} });
     AssertLostOnce();
-    auto link = OpenLink();
+    link = OpenLink();
     one.mReplies.resize(1);
     one.mReplies[0].mRetryAt = Clock::now() + seconds(1);
     mHome.mLog.mReplies.Set(one);
@@ -572,7 +574,8 @@
       call.initTerms().setDeadlineUs(~std::uint64_t{ 0 });
       auto answer = call.send().then([](auto) { return false; },
                                      [](kj::Exception&&) { return true; });
-      return answer.wait(scope);
+      auto& timer = client.getIoProvider().getTimer();
+      return timer.timeoutAfter(5 * kj::SECONDS, kj::mv(answer)).wait(scope);
     };
     CPPUNIT_ASSERT(isRefused(1, 13, 0));
     CPPUNIT_ASSERT(isRefused(1, 255, 0));
@@ -603,7 +606,8 @@
     };
     for (const auto& it : malformed) {
       fill.Set(it);
-      Send(*Open(server.mAddress, "0")->mLink);
+      auto link = Open(server.mAddress, "0")->mLink;
+      Send(*link);
       AssertLostOnce();
     }
     auto link = Open(server.mAddress, "0")->mLink;
