Borrowed statements go to the home with the request for a connection

Change: the borrower opens a link only when it is used and sends its batch, with the session's values and prepared statements, as for a new connection; LentSession at the home sends what the connection lacks. Single writes get the link first, so that one that no home answers has certainly not run. A database that its homes can't reach is not tried directly.

--- a/include/sesameway/ConnectionPlan.h
+++ b/include/sesameway/ConnectionPlan.h
@@ -39,8 +39,6 @@
   {
     std::uint64_t mConnection = 0;
     std::string mOrganisation;
-    // The request for which it is opened. Another one of the organisation may get it.
-    std::uint64_t mTicket = 0;
   };
   struct Close
   {
--- a/src/core/ConnectionPlan.cpp
+++ b/src/core/ConnectionPlan.cpp
@@ -279,7 +279,7 @@
   }
   auto id = mNextConnection++;
   mConnections[id] = { organisation, State::Opening, aNow };
-  aActions.push_back(Open{ id, organisation, aWaiter.mRequest.mTicket });
+  aActions.push_back(Open{ id, organisation });
 }
 
 void ConnectionPlan::GrantTo(Waiters::iterator aWaiter,
--- a/src/proxy/Backend.h
+++ b/src/proxy/Backend.h
@@ -58,9 +58,6 @@
   ReplyCode mCode = ReplyCode::Busy;
   std::string mReason;
   TimePoint mRetryAt;
-  // Whether the database can't serve the request in time, so that waiting for it is of
-  // no use.
-  bool mIsOverload = false;
 };
 using LeaseCallback = std::function<void(tl::expected<LeasePtr, Refusal>)>;
 
--- a/src/proxy/DatabaseFleet.h
+++ b/src/proxy/DatabaseFleet.h
@@ -241,6 +241,8 @@
                           const StatementTerms& aTerms,
                           TimePoint aNow) const;
   void OnOverload(std::uint64_t aTicket, TimePoint aRetryAt);
+  // Whether the database could not be reached a short time ago.
+  bool IsSuspect(const DatabasePool& aPool, TimePoint aNow) const;
   Duration LatencyTo(const std::string& aZone) const;
   std::size_t LimitOf(const ListedDatabase& aDatabase) const;
   // Retires the pools of databases that have been missing from the store for too long.
--- a/src/proxy/DatabasePool.cpp
+++ b/src/proxy/DatabasePool.cpp
@@ -102,7 +102,7 @@
                            const LeaseRequest& aRequest,
                            GrantCallback aDone)
 {
-  mWaiting[aTicket] = { std::move(aDone), aRequest.mTerms };
+  mWaiting[aTicket] = std::move(aDone);
   auto now = Clock::now();
   Execute(mPlan.Add(
     { aTicket, aRequest.mOrganisation, aRequest.mPriority, aRequest.mDeadline }, now));
@@ -121,11 +121,7 @@
   auto now = Clock::now();
   if (aIsBroken || mIsRetired) {
     mConnections.erase(id);
-    if (aIsBroken) {
-      aLease->mLink->Close();
-    } else {
-      aLease->mLink->Return(*aLease->mConnectionState);
-    }
+    aLease->mLink->Close();
     Execute(mPlan.OnGone(id, now));
     return;
   }
@@ -234,7 +230,7 @@
     Execute(mPlan.OnGone(aGrant.mConnection, Clock::now()));
     return;
   }
-  node.mapped().mDone(MakeLease(aGrant.mConnection));
+  node.mapped()(MakeLease(aGrant.mConnection));
 }
 
 void DatabasePool::Execute(const ConnectionPlan::Open& aOpen)
@@ -243,11 +239,7 @@
   OnSent(now);
   const auto& organisation =
     aOpen.mOrganisation.empty() ? kOwnOrganisation : aOpen.mOrganisation;
-  auto waiter = mWaiting.find(aOpen.mTicket);
-  auto terms = waiter == mWaiting.end() ? StatementTerms{} : waiter->second.mTerms;
-  LinkTarget target{
-    mListed.mAddress, mListed.mGroup, organisation, mListed.mName, std::move(terms)
-  };
+  LinkTarget target{ mListed.mAddress, mListed.mGroup, organisation, mListed.mName };
   if (mQueue) {
     mQueue->OnOpening();
   }
@@ -262,7 +254,7 @@
 
 void DatabasePool::OnOpened(const ConnectionPlan::Open& aOpen,
                             TimePoint aSentAt,
-                            tl::expected<DatabaseLinkPtr, OpenError> aLink)
+                            tl::expected<DatabaseLinkPtr, ReplyCode> aLink)
 {
   auto now = Clock::now();
   auto id = aOpen.mConnection;
@@ -281,30 +273,24 @@
     mQueue->Restart("reachable_again");
   }
   mConsecutiveRefusals = 0;
-  auto state = std::make_shared<SharedConnectionState>((*aLink)->InitialState());
-  mConnections[id] = { *aLink, std::move(state) };
+  mConnections[id] = { *aLink, std::make_shared<SharedConnectionState>() };
   WatchIdle(id);
   Execute(mPlan.OnOpened(id, now));
 }
 
 void DatabasePool::OnOpenFailed(const ConnectionPlan::Open& aOpen,
                                 TimePoint aSentAt,
-                                const OpenError& aError)
+                                ReplyCode aCode)
 {
   auto now = Clock::now();
-  if (aError.mRetryAt) {
-    RefuseOverloaded(aOpen, *aError.mRetryAt);
-    return;
-  }
   LOG(INFO) << daemon::LogLine("connection_failed")
                  .With("database", mListed.mName)
                  .With("address", mListed.mAddress)
                  .With("organisation", aOpen.mOrganisation)
-                 .With("code", kReplyCodeNames.Name(aError.mCode))
+                 .With("code", kReplyCodeNames.Name(aCode))
                  .With("took_ms", (now - aSentAt) / milliseconds(1))
                  .With("waiting", mPlan.Waiting());
-  bool isFull =
-    aError.mCode == ReplyCode::TooManyConnections || aError.mCode == ReplyCode::Busy;
+  bool isFull = aCode == ReplyCode::TooManyConnections || aCode == ReplyCode::Busy;
   if (!isFull) {
     mSuspectUntil = now + kSuspectDuration;
   }
@@ -319,22 +305,6 @@
   }
 }
 
-// The home can't serve the statement for which the connection was to be opened. Others
-// may be more urgent or have more time, so they are not refused with it.
-void DatabasePool::RefuseOverloaded(const ConnectionPlan::Open& aOpen,
-                                    TimePoint aRetryAt)
-{
-  auto now = Clock::now();
-  auto self = shared_from_this();
-  bool isWaiting = mPlan.Drop(aOpen.mTicket);
-  auto node = mWaiting.extract(aOpen.mTicket);
-  Execute(mPlan.OnGone(aOpen.mConnection, now));
-  if (isWaiting && !node.empty()) {
-    node.mapped().mDone(
-      tl::unexpected(Refusal{ ReplyCode::Busy, "overloaded", aRetryAt, true }));
-  }
-}
-
 void DatabasePool::WatchIdle(std::uint64_t aConnection)
 {
   auto it = mConnections.find(aConnection);
@@ -353,9 +323,9 @@
 {
   auto it = mConnections.find(aClose.mConnection);
   if (it != mConnections.end()) {
-    auto connection = std::move(it->second);
+    auto link = it->second.mLink;
     mConnections.erase(it);
-    connection.mLink->Return(*connection.mConnectionState);
+    link->Close();
   }
 }
 
@@ -364,7 +334,7 @@
   auto node = mWaiting.extract(aRefuse.mTicket);
   if (!node.empty()) {
     Refusal refusal{ ReplyCode::Busy, "no_connection", aRefuse.mRetryAt };
-    node.mapped().mDone(tl::unexpected(std::move(refusal)));
+    node.mapped()(tl::unexpected(std::move(refusal)));
   }
 }
 
--- a/src/proxy/DatabasePool.h
+++ b/src/proxy/DatabasePool.h
@@ -95,11 +95,6 @@
 
 private:
   static constexpr std::uint64_t kFirstOwnTicket = std::uint64_t{ 1 } << 62;
-  struct Waiter
-  {
-    GrantCallback mDone;
-    StatementTerms mTerms;
-  };
   struct OpenConnection
   {
     DatabaseLinkPtr mLink;
@@ -112,11 +107,10 @@
   void Execute(const ConnectionPlan::Refuse& aRefuse);
   void OnOpened(const ConnectionPlan::Open& aOpen,
                 TimePoint aSentAt,
-                tl::expected<DatabaseLinkPtr, OpenError> aLink);
+                tl::expected<DatabaseLinkPtr, ReplyCode> aLink);
   void OnOpenFailed(const ConnectionPlan::Open& aOpen,
                     TimePoint aSentAt,
-                    const OpenError& aError);
-  void RefuseOverloaded(const ConnectionPlan::Open& aOpen, TimePoint aRetryAt);
+                    ReplyCode aCode);
   LeasePtr MakeLease(std::uint64_t aConnection);
   void OnAnswered(TimePoint aSentAt);
   void WatchIdle(std::uint64_t aConnection);
@@ -136,7 +130,7 @@
   Timer mTick;
   bool mIsRetired = false;
   std::map<std::uint64_t, OpenConnection> mConnections;
-  std::map<std::uint64_t, Waiter> mWaiting;
+  std::map<std::uint64_t, GrantCallback> mWaiting;
   // Leases in use, by connection number.
   std::map<std::uint64_t, std::weak_ptr<ConnectionLease>> mLeases;
   TimePoint mHeardAt{};
--- a/src/proxy/FleetHomes.cpp
+++ b/src/proxy/FleetHomes.cpp
@@ -11,21 +11,9 @@
 // Bounds the connections that one daemon borrows to one database at a time; more
 // statements wait here.
 constexpr std::size_t kBorrowedLimit = 64;
-// The second home takes statements only while the first one does not respond. Its part
-// of the slots is small, so that both together hardly exceed them while daemons
-// disagree about the first home.
-constexpr std::size_t kSecondHomeDivisor = 4;
 constexpr Duration kPrimaryCheckInterval = seconds(1);
 constexpr Duration kPrimaryCheckTimeout = milliseconds(600);
 
-std::size_t SlotsOf(const ListedDatabase& aDatabase, HomeRole aRole)
-{
-  std::size_t slots = std::max<std::uint32_t>(1, aDatabase.mSlots);
-  return aRole == HomeRole::FirstHome
-           ? slots
-           : std::max<std::size_t>(1, slots / kSecondHomeDivisor);
-}
-
 } // namespace
 
 HomePlan DatabaseFleet::PlanFor(const ListedDatabase& aDatabase) const
@@ -71,7 +59,7 @@
   } else {
     SetPoolKind(home, aDatabase, PoolKind::Home);
   }
-  home->SetSlots(SlotsOf(aDatabase, plan.mRole));
+  home->SetSlots(std::max<std::uint32_t>(1, aDatabase.mSlots));
   home->SetLimit(HomeConnections(ConnectionsOf(aDatabase), isFirst ? 0 : 1));
 }
 
@@ -158,6 +146,13 @@
   return wait;
 }
 
+bool DatabaseFleet::IsSuspect(const DatabasePool& aPool, TimePoint aNow) const
+{
+  bool isBorrowing = aPool.Kind() == PoolKind::Borrowing;
+  return aPool.IsSuspect(aNow) ||
+         (isBorrowing && mBorrower.IsUnreachable(aPool.Listed().mName, aNow));
+}
+
 void DatabaseFleet::CheckPrimaries(TimePoint aNow)
 {
   if (aNow < mNextPrimaryCheckAt) {
--- a/src/proxy/FleetPlacement.cpp
+++ b/src/proxy/FleetPlacement.cpp
@@ -64,7 +64,7 @@
     return;
   }
   auto pool = FindPool(leadership.Record().mPrimary);
-  if (pool && !pool->IsSuspect(now)) {
+  if (pool && !IsSuspect(*pool, now)) {
     PlaceAt(aTicket, pool, true);
   }
 }
@@ -87,7 +87,7 @@
       continue;
     }
     bool isPrimary = it->mName == group.mLeadership.Record().mPrimary;
-    if (!pool || pool->IsSuspect(now) || (isPrimary && !mayUsePrimary) ||
+    if (!pool || IsSuspect(*pool, now) || (isPrimary && !mayUsePrimary) ||
         (!isPrimary && it->mIsLeaving)) {
       continue;
     }
@@ -153,10 +153,6 @@
   if (aLease && isBlocked) {
     Release(*aLease, false);
   }
-  if (!aLease && aLease.error().mIsOverload) {
-    OnOverload(aTicket, aLease.error().mRetryAt);
-    return;
-  }
   if (!aLease || isBlocked) {
     // Tick chooses again: another database, or the same one a little later.
     pending.mRequest.mAvoid.insert(pending.mDatabase);
--- a/src/proxy/LinkBorrower.cpp
+++ b/src/proxy/LinkBorrower.cpp
@@ -1,124 +1,330 @@
 #include "proxy/LinkBorrower.h"
 
 #include "daemon/Log.h"
+#include "sesameway/LentSession.h"
 
 #include <algorithm>
 #include <optional>
+#include <set>
 #include <utility>
 
 namespace sesameway::proxy {
 
 namespace {
 
-// A home answers within 400 ms; the rest is for the way there and back.
+// A home answers a request for a connection alone within 400 ms; the rest is for the way
+// there and back.
 constexpr Duration kHomeTimeout = milliseconds(600);
 // Lets a refusal by the home's queue arrive before this daemon's own deadline.
 constexpr Duration kAnswerReserve = milliseconds(50);
-// When a statement is to come back that found the one direct connection in use.
-constexpr Duration kDirectRetryPause = milliseconds(200);
+// Lets the answer to a batch that ends at its deadline arrive.
+constexpr Duration kAnswerAllowance = milliseconds(100);
+constexpr Duration kDirectOpenTimeout = milliseconds(1500);
+// When a statement is to come back that no home and no connection of this daemon could
+// take.
+constexpr Duration kRetryPause = milliseconds(250);
+constexpr Duration kUnreachableTime = milliseconds(600);
 
-} // namespace
+// Whether the last command of the batch takes effect for good when it runs alone.
+bool IsSingleWrite(const std::vector<ConnectionCommand>& aCommands)
+{
+  return !aCommands.empty() && IsWrite(aCommands.back().mKind);
+}
 
-// The attempt to open a connection for one statement.
-struct LinkBorrower::Request
+// A reply to a batch of which nothing was sent.
+std::vector<ConnectionReply> NotSent(const std::string& aReason, TimePoint aRetryAt)
 {
-  LinkTarget mTarget;
-  TimePoint mDeadline;
-  OpenCallback mDone;
-  // Homes that can't lend for this request.
-  std::set<std::string> mRefused;
-  bool mHasAnswer = false;
-};
+  ConnectionReply reply;
+  reply.mCode = ReplyCode::Busy;
+  reply.mDetail = aReason;
+  reply.mRetryAt = aRetryAt;
+  return { reply };
+}
 
-// A connection of a home that this daemon uses over the home's RPC.
+} // namespace
+
+// A connection of a home that this daemon uses over the home's RPC. Outside transactions
+// the home takes the connection back after each batch, so each batch may run on another
+// connection, and the session is set up with it. A batch that may safely run twice goes
+// to the home with the request for a connection. A write does not: if the home leaves
+// the request unanswered, the write has certainly not run and can go to the other home.
 class LinkBorrower::BorrowedLink
   : public DatabaseLink
   , public std::enable_shared_from_this<LinkBorrower::BorrowedLink>
 {
 public:
-  BorrowedLink(LinkBorrower& aBorrower, std::string aDatabase, peer::LinkOffer aOffer)
+  BorrowedLink(LinkBorrower& aBorrower, LinkTarget aTarget)
     : mBorrower(aBorrower)
-    , mDatabase(std::move(aDatabase))
-    , mLent(std::move(aOffer.mLink))
-    , mInitialState(std::move(aOffer.mContents))
+    , mTarget(std::move(aTarget))
   {
   }
 
   void Send(std::vector<ConnectionCommand> aCommands, Replies aDone) override
   {
-    mExpected = aCommands.size();
     mDone = std::move(aDone);
-    if (!mLent) {
-      Finish({});
-      return;
-    }
-    auto terms = mTerms;
-    if (!terms.mIsInTransaction && terms.mDeadline != TimePoint::max()) {
-      terms.mDeadline -= kAnswerReserve;
+    mExpected = aCommands.size();
+    ++mBatch;
+    mSession.Note(aCommands);
+    mCommands = std::move(aCommands);
+    mRefused.clear();
+    mSentAt = Clock::now();
+    if (mDirect) {
+      SendDirect();
+    } else if (mLent) {
+      SendLent();
+    } else {
+      mCommands = mSession.WithSetUp(mCommands);
+      AskNextHome();
     }
-    auto batch = ++mBatch;
-    auto& loop = mBorrower.mLoop;
-    mLent->Send(std::move(aCommands),
-                std::move(terms),
-                [self = shared_from_this(), batch, &loop](peer::LinkReplies aReplies) {
-                  loop.Post([self, batch, replies = std::move(aReplies)]() mutable {
-                    self->OnReplies(batch, std::move(replies));
-                  });
-                });
   }
 
   void SetTerms(const StatementTerms& aTerms) override { mTerms = aTerms; }
 
-  // Without the connection's state the home closes it.
   void Close() override
   {
     auto self = shared_from_this();
+    if (mDone && !mHome.empty()) {
+      mBorrower.OnNotHeard(mHome, mSentAt);
+    }
+    ++mBatch;
     mLent.reset();
+    if (auto direct = std::exchange(mDirect, nullptr)) {
+      direct->Close();
+    }
     Finish({});
   }
 
   // Whether the home's connection has broken shows with the next batch.
   void OnBroken(std::function<void()>) override {}
 
-  SharedConnectionState InitialState() const override { return mInitialState; }
+private:
+  StatementTerms WireTerms() const
+  {
+    auto terms = mTerms;
+    if (!terms.mIsInTransaction && terms.mDeadline != TimePoint::max()) {
+      terms.mDeadline -= kAnswerReserve;
+    }
+    return terms;
+  }
+
+  void AskNextHome()
+  {
+    auto& borrowing = mBorrower.BorrowingOf(mTarget.mDatabase);
+    auto homes = borrowing.mHomes;
+    std::erase_if(homes, [&](const auto& aIt) {
+      return mRefused.count(aIt) > 0 || mBorrower.mAddresses.count(aIt) == 0;
+    });
+    auto home = mBorrower.mChoice.Choose(homes, Clock::now());
+    if (mBorrower.mPeers == nullptr || !home) {
+      OnNoHome();
+      return;
+    }
+    mHome = *home;
+    AskHome();
+  }
 
-  void Return(const SharedConnectionState& aState) override
+  void AskHome()
   {
-    if (mLent && !mDone) {
-      mLent->Return(aState);
+    auto now = Clock::now();
+    peer::LinkRequest request{
+      mTarget.mDatabase, mTarget.mGroup, mTarget.mOrganisation, WireTerms(), {}
+    };
+    auto deadline = now + kHomeTimeout;
+    bool isWhole = !IsSingleWrite(mCommands);
+    if (isWhole) {
+      request.mCommands = mCommands;
+      deadline = mTerms.mDeadline == TimePoint::max() ? now + kDirectOpenTimeout
+                                                      : mTerms.mDeadline + kAnswerAllowance;
     }
-    mLent.reset();
+    auto& loop = mBorrower.mLoop;
+    auto onOffer = [self = shared_from_this(), &loop, batch = mBatch, isWhole](
+                     std::optional<peer::LinkOffer> aOffer) {
+      loop.Post([self, batch, isWhole, offer = std::move(aOffer)]() mutable {
+        self->OnOffer(batch, isWhole, std::move(offer));
+      });
+    };
+    mSentAt = now;
+    mBorrower.mPeers->OpenLink(
+      mBorrower.mAddresses[mHome], std::move(request), deadline, std::move(onOffer));
+  }
+
+  void OnOffer(std::uint64_t aBatch, bool aIsWhole, std::optional<peer::LinkOffer> aOffer)
+  {
+    if (aBatch != mBatch || !mDone) {
+      return;
+    }
+    if (!aOffer) {
+      mBorrower.mCount("homes.no_answer");
+      mBorrower.OnNotHeard(mHome, mSentAt);
+      if (aIsWhole) {
+        Finish({});
+      } else {
+        mRefused.insert(mHome);
+        AskNextHome();
+      }
+      return;
+    }
+    mBorrower.OnHeard(mHome);
+    if (aOffer->mRefusal != peer::LinkRefusal::None) {
+      OnRefused(*aOffer);
+      return;
+    }
+    mBorrower.mCount("homes.borrowed");
+    mLent = std::move(aOffer->mLink);
+    if (aIsWhole) {
+      OnReplies(aBatch, { std::move(aOffer->mReplies), aOffer->mExpectedWait });
+    } else if (mLent) {
+      SendLent();
+    } else {
+      Finish({});
+    }
+  }
+
+  void OnRefused(const peer::LinkOffer& aOffer)
+  {
+    auto now = Clock::now();
+    std::string reason = "home_";
+    reason += peer::kLinkRefusalNames.Name(aOffer.mRefusal);
+    mBorrower.mCount(reason);
+    switch (aOffer.mRefusal) {
+      case peer::LinkRefusal::Overloaded:
+        mBorrower.NoteWait(mTarget.mDatabase, aOffer.mExpectedWait);
+        Finish(NotSent(reason, std::max(aOffer.mRetryAt, now)));
+        return;
+      case peer::LinkRefusal::Leaving:
+        mBorrower.mChoice.OnLeaving(mHome, now);
+        break;
+      case peer::LinkRefusal::Unreachable:
+        mIsUnreachable = true;
+        break;
+      case peer::LinkRefusal::None:
+      case peer::LinkRefusal::NotAHome:
+        break;
+    }
+    mRefused.insert(mHome);
+    AskNextHome();
+  }
+
+  // A home that can't reach the database is as near to it as can be, so this daemon does
+  // not try itself.
+  void OnNoHome()
+  {
+    auto now = Clock::now();
+    mHome.clear();
+    auto& borrowing = mBorrower.BorrowingOf(mTarget.mDatabase);
+    if (std::exchange(mIsUnreachable, false)) {
+      borrowing.mUnreachableUntil = now + kUnreachableTime;
+      Finish(NotSent("unreachable", now + kRetryPause));
+    } else if (!borrowing.mDirect.expired()) {
+      Finish(NotSent("no_home", now + kRetryPause));
+    } else {
+      OpenDirect();
+    }
+  }
+
+  void OpenDirect()
+  {
+    mBorrower.mCount("homes.direct");
+    mBorrower.BorrowingOf(mTarget.mDatabase).mDirect = weak_from_this();
+    mBorrower.mDirect.Open(
+      mTarget,
+      Clock::now() + kDirectOpenTimeout,
+      [self = shared_from_this(), batch = mBatch](auto aLink) {
+        bool isWanted = batch == self->mBatch && self->mDone;
+        if (aLink && isWanted) {
+          self->mDirect = *aLink;
+          self->SendDirect();
+          return;
+        }
+        self->mBorrower.BorrowingOf(self->mTarget.mDatabase).mDirect.reset();
+        if (aLink) {
+          (*aLink)->Close();
+        } else if (isWanted) {
+          self->Finish(NotSent("unreachable", Clock::now() + kRetryPause));
+        }
+      });
+  }
+
+  void SendDirect()
+  {
+    mDirect->Send(std::move(mCommands),
+                  [self = shared_from_this(),
+                   batch = mBatch](std::vector<ConnectionReply> aReplies) {
+                    if (batch == self->mBatch) {
+                      self->Finish(std::move(aReplies));
+                    }
+                  });
+  }
+
+  void SendLent()
+  {
+    auto& loop = mBorrower.mLoop;
+    mLent->Send(std::move(mCommands),
+                WireTerms(),
+                [self = shared_from_this(), batch = mBatch, &loop](
+                  peer::LinkReplies aReplies) {
+                  loop.Post([self, batch, replies = std::move(aReplies)]() mutable {
+                    self->OnReplies(batch, std::move(replies));
+                  });
+                });
   }
 
-private:
   void OnReplies(std::uint64_t aBatch, peer::LinkReplies aReplies)
   {
     if (aBatch != mBatch || !mDone) {
       return;
     }
-    mBorrower.NoteWait(mDatabase, aReplies.mExpectedWait);
-    Finish(std::move(aReplies.mReplies));
+    auto replies = std::move(aReplies.mReplies);
+    bool isLost = replies.empty() || replies.back().mCode == ReplyCode::Lost;
+    if (!isLost) {
+      mBorrower.OnHeard(mHome);
+      mBorrower.NoteWait(mTarget.mDatabase, aReplies.mExpectedWait);
+    }
+    if (isLost || replies.back().mTransaction == TransactionState::None) {
+      mLent.reset();
+    }
+    Finish(std::move(replies));
   }
 
+  // Passes the replies to the commands that the session sent. The ones before them set
+  // the session up on another connection.
   void Finish(std::vector<ConnectionReply> aReplies)
   {
     if (!mDone) {
       return;
     }
     bool isUnsent = aReplies.size() == 1 && aReplies.front().mRetryAt;
-    if (!isUnsent && aReplies.size() != mExpected) {
+    if (!isUnsent && aReplies.size() < mExpected) {
       aReplies.assign(mExpected, ConnectionReply{});
     }
+    if (!isUnsent && aReplies.size() > mExpected) {
+      auto failed = std::find_if(aReplies.begin(), aReplies.end() - 1, [](auto& aIt) {
+        return aIt.mCode != ReplyCode::Done;
+      });
+      if (failed != aReplies.end() - 1) {
+        aReplies.back() = ConnectionReply{};
+      }
+      aReplies.erase(aReplies.begin(), aReplies.end() - mExpected);
+    }
     std::exchange(mDone, nullptr)(std::move(aReplies));
   }
 
   LinkBorrower& mBorrower;
-  std::string mDatabase;
-  std::shared_ptr<peer::LentLink> mLent;
-  SharedConnectionState mInitialState;
+  LinkTarget mTarget;
   StatementTerms mTerms;
+  LentSession mSession;
+  std::shared_ptr<peer::LentLink> mLent;
+  DatabaseLinkPtr mDirect;
+  // The home that was asked last.
+  std::string mHome;
+  // Homes that can't lend for the current batch.
+  std::set<std::string> mRefused;
+  // Whether one of them can't reach the database.
+  bool mIsUnreachable = false;
   // Tells replies to the current batch from those to one that was given up.
   std::uint64_t mBatch = 0;
+  TimePoint mSentAt{};
+  std::vector<ConnectionCommand> mCommands;
   std::size_t mExpected = 0;
   Replies mDone;
 };
@@ -153,6 +359,12 @@
   return isKnown ? it->second.mWaitUntil - aNow : Duration::zero();
 }
 
+bool LinkBorrower::IsUnreachable(const std::string& aDatabase, TimePoint aNow) const
+{
+  auto it = mBorrowings.find(aDatabase);
+  return it != mBorrowings.end() && aNow < it->second.mUnreachableUntil;
+}
+
 // A queue drains about as fast as time passes, so the reported wait shrinks until the
 // next report.
 void LinkBorrower::NoteWait(const std::string& aDatabase, Duration aWait)
@@ -163,112 +375,27 @@
   }
 }
 
-void LinkBorrower::Open(const LinkTarget& aTarget,
-                        TimePoint aDeadline,
-                        OpenCallback aDone)
+void LinkBorrower::OnHeard(const std::string& aHome)
 {
-  auto request = std::make_shared<Request>();
-  request->mTarget = aTarget;
-  request->mDeadline = aDeadline;
-  request->mDone = std::move(aDone);
-  AskNextHome(request);
+  mHeardAt[aHome] = Clock::now();
+  mChoice.OnAnswer(aHome);
 }
 
-void LinkBorrower::AskNextHome(const std::shared_ptr<Request>& aRequest)
+// A home that has answered another call since lives; what it left unanswered waits at
+// the database.
+void LinkBorrower::OnNotHeard(const std::string& aHome, TimePoint aSentAt)
 {
+  auto it = mHeardAt.find(aHome);
+  bool isSilent = it == mHeardAt.end() || it->second < aSentAt;
   auto now = Clock::now();
-  auto borrowing = mBorrowings.find(aRequest->mTarget.mDatabase);
-  if (borrowing == mBorrowings.end() || mPeers == nullptr) {
-    aRequest->mDone(tl::unexpected(ReplyCode::Lost));
-    return;
-  }
-  auto homes = borrowing->second.mHomes;
-  std::erase_if(homes, [&](const auto& aIt) {
-    return aRequest->mRefused.count(aIt) > 0 || mAddresses.count(aIt) == 0;
-  });
-  auto home = mChoice.Choose(homes, now);
-  if (!home) {
-    OpenDirect(aRequest);
-    return;
-  }
-  const auto& target = aRequest->mTarget;
-  peer::LinkRequest request{
-    target.mDatabase, target.mGroup, target.mOrganisation, target.mTerms
-  };
-  mPeers->OpenLink(
-    mAddresses[*home],
-    std::move(request),
-    now + kHomeTimeout,
-    [this, aRequest, home = *home](std::optional<peer::LinkOffer> aOffer) {
-      mLoop.Post([this, aRequest, home, offer = std::move(aOffer)] {
-        OnOffer(aRequest, home, offer);
-      });
-    });
-}
-
-void LinkBorrower::OnOffer(const std::shared_ptr<Request>& aRequest,
-                           const std::string& aHome,
-                           std::optional<peer::LinkOffer> aOffer)
-{
-  const auto& database = aRequest->mTarget.mDatabase;
-  if (!aOffer) {
-    mCount("homes.no_answer");
-    mChoice.OnNoAnswer(aHome, Clock::now());
-    aRequest->mRefused.insert(aHome);
-    AskNextHome(aRequest);
-    return;
-  }
-  mChoice.OnAnswer(aHome);
-  if (aOffer->mLink) {
-    mCount("homes.borrowed");
-    NoteWait(database, aOffer->mExpectedWait);
-    aRequest->mDone(DatabaseLinkPtr(
-      std::make_shared<BorrowedLink>(*this, database, std::move(*aOffer))));
-    return;
+  if (isSilent && now - aSentAt >= kAnswerReserve) {
+    mChoice.OnNoAnswer(aHome, now);
   }
-  mCount("homes.refused_" +
-         std::string(peer::kLinkRefusalNames.Name(aOffer->mRefusal)));
-  switch (aOffer->mRefusal) {
-    case peer::LinkRefusal::Overloaded:
-      NoteWait(database, aOffer->mExpectedWait);
-      aRequest->mDone(tl::unexpected(
-        OpenError(ReplyCode::Busy, std::max(aOffer->mRetryAt, Clock::now()))));
-      return;
-    case peer::LinkRefusal::Leaving:
-      mChoice.OnLeaving(aHome, Clock::now());
-      break;
-    case peer::LinkRefusal::None:
-    case peer::LinkRefusal::NotAHome:
-    case peer::LinkRefusal::Unreachable:
-      break;
-  }
-  aRequest->mRefused.insert(aHome);
-  AskNextHome(aRequest);
 }
 
-// The databases' connections are too few for all daemons, so each daemon that reaches
-// no home opens one at a time.
-void LinkBorrower::OpenDirect(const std::shared_ptr<Request>& aRequest)
+void LinkBorrower::Open(const LinkTarget& aTarget, TimePoint, OpenCallback aDone)
 {
-  auto now = Clock::now();
-  auto& borrowing = mBorrowings[aRequest->mTarget.mDatabase];
-  if (borrowing.mIsOpeningDirect || !borrowing.mDirect.expired()) {
-    aRequest->mDone(
-      tl::unexpected(OpenError(ReplyCode::Busy, now + kDirectRetryPause)));
-    return;
-  }
-  mCount("homes.direct");
-  borrowing.mIsOpeningDirect = true;
-  mDirect.Open(aRequest->mTarget, aRequest->mDeadline, [this, aRequest](auto aLink) {
-    auto it = mBorrowings.find(aRequest->mTarget.mDatabase);
-    if (it != mBorrowings.end()) {
-      it->second.mIsOpeningDirect = false;
-      if (aLink) {
-        it->second.mDirect = *aLink;
-      }
-    }
-    aRequest->mDone(std::move(aLink));
-  });
+  aDone(DatabaseLinkPtr(std::make_shared<BorrowedLink>(*this, aTarget)));
 }
 
 } // namespace sesameway::proxy
--- a/src/proxy/LinkBorrower.h
+++ b/src/proxy/LinkBorrower.h
@@ -9,15 +9,14 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
 namespace sesameway::proxy {
 
-// Opens connections to databases by borrowing them from the databases' homes. While no
-// home of a database responds, opens one connection to it directly. Used on the event
-// loop's thread only.
+// Opens connections to databases that are borrowed from the databases' homes when they
+// are used. While no home of a database responds, one connection to it is opened
+// directly. Used on the event loop's thread only.
 class LinkBorrower : public DatabaseConnector
 {
 public:
@@ -33,29 +32,29 @@
   void Forget(const std::string& aDatabase);
   // Expected wait of a new statement, from what the database's homes have reported.
   Duration ExpectedWait(const std::string& aDatabase, TimePoint aNow) const;
+  // Whether the database's homes could not reach it a short time ago.
+  bool IsUnreachable(const std::string& aDatabase, TimePoint aNow) const;
 
-  void Open(const LinkTarget& aTarget,
-            TimePoint aDeadline,
-            OpenCallback aDone) override;
+  // Passes a link at once; it asks a home with the first batch.
+  void Open(const LinkTarget& aTarget, TimePoint aDeadline, OpenCallback aDone) override;
 
 private:
   class BorrowedLink;
-  struct Request;
   struct Borrowing
   {
     std::vector<std::string> mHomes;
     // When the expected wait that a home reported will be over.
     TimePoint mWaitUntil{};
+    TimePoint mUnreachableUntil{};
+    // The direct connection, while it is open.
     std::weak_ptr<DatabaseLink> mDirect;
-    bool mIsOpeningDirect = false;
   };
 
-  void AskNextHome(const std::shared_ptr<Request>& aRequest);
-  void OnOffer(const std::shared_ptr<Request>& aRequest,
-               const std::string& aHome,
-               std::optional<peer::LinkOffer> aOffer);
-  void OpenDirect(const std::shared_ptr<Request>& aRequest);
+  Borrowing& BorrowingOf(const std::string& aDatabase) { return mBorrowings[aDatabase]; }
   void NoteWait(const std::string& aDatabase, Duration aWait);
+  // Notes an answer of the home to a call, or that none came to one sent at `aSentAt`.
+  void OnHeard(const std::string& aHome);
+  void OnNotHeard(const std::string& aHome, TimePoint aSentAt);
 
   Loop& mLoop;
   DatabaseConnector& mDirect;
@@ -64,6 +63,8 @@
   std::map<std::string, std::string> mAddresses;
   std::map<std::string, Borrowing> mBorrowings;
   HomeChoice mChoice;
+  // When each home last answered a call.
+  std::map<std::string, TimePoint> mHeardAt;
 };
 
 } // namespace sesameway::proxy
--- a/src/proxy/LinkLender.cpp
+++ b/src/proxy/LinkLender.cpp
@@ -1,5 +1,7 @@
 #include "proxy/LinkLender.h"
 
+#include "sesameway/LentSession.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -12,10 +14,21 @@
 constexpr Duration kRetryPause = milliseconds(250);
 // Tickets of statements and of a pool's own commands are below and above these.
 constexpr std::uint64_t kFirstTicket = std::uint64_t{ 1 } << 61;
+// A replica that has left all statements unanswered for this long may be gone, so reads
+// go elsewhere meanwhile. Statements that need a primary have no other database.
+constexpr Duration kSilenceLimit = milliseconds(500);
+
+bool IsSilent(const DatabasePool& aPool, TimePoint aNow)
+{
+  bool isReplica = aPool.Listed().mRole == DatabaseRole::Replica;
+  auto silence = aPool.Silence(aNow);
+  return isReplica && silence && *silence >= kSilenceLimit;
+}
 
 } // namespace
 
-// A connection while it is lent. Used on the event loop's thread only.
+// A connection while it is lent. The connection goes back to its pool with the batch
+// that leaves no transaction open. Used on the event loop's thread only.
 class LinkLender::Loan : public std::enable_shared_from_this<Loan>
 {
 public:
@@ -27,77 +40,86 @@
   }
   Loan(const Loan&) = delete;
   Loan& operator=(const Loan&) = delete;
-  // The borrower never used the connection unless End was called.
-  ~Loan()
-  {
-    if (mLease) {
-      mPool->Release(mLease, mIsUsed);
-    }
-  }
+  ~Loan() { End(); }
 
-  void Send(std::vector<ConnectionCommand> aCommands,
+  void Send(const std::vector<ConnectionCommand>& aCommands,
             const StatementTerms& aTerms,
             const peer::LentLink::Replies& aDone)
   {
+    mUsedAt = Clock::now();
     if (!mLease) {
       ConnectionReply reply;
       reply.mCode = ReplyCode::Aborted;
       reply.mDetail = "link_taken_back";
-      reply.mRetryAt = Clock::now();
+      reply.mRetryAt = mUsedAt;
       aDone({ { reply }, {} });
       return;
     }
-    mIsUsed = true;
-    mIsBusy = true;
-    mUsedAt = Clock::now();
+    mIsClean = false;
     mPool->OnSent(mUsedAt);
     mLease->mLink->SetTerms(aTerms);
-    mLease->mLink->Send(std::move(aCommands),
+    auto commands = mSession.ToConnection(aCommands, *mLease->mConnectionState);
+    mLease->mLink->Send(std::move(commands),
                         [self = shared_from_this(), terms = aTerms, done = aDone](
                           std::vector<ConnectionReply> aReplies) {
                           self->OnReplies(std::move(aReplies), terms, done);
                         });
   }
 
-  void Return(SharedConnectionState aState)
-  {
-    if (mLease) {
-      *mLease->mConnectionState = std::move(aState);
-      mPool->Release(std::exchange(mLease, nullptr), mIsBusy);
-    }
-  }
-
-  // The borrower is gone, or is no longer trusted to be there.
+  // Takes the connection back: the borrower has returned it or is gone.
   void End()
   {
     if (mLease) {
-      mPool->Release(std::exchange(mLease, nullptr), mIsUsed);
+      mPool->Release(std::exchange(mLease, nullptr), !mIsClean);
     }
   }
 
-  bool IsIdleSince(TimePoint aSince) const { return !mIsBusy && mUsedAt < aSince; }
+  bool IsOpen() const { return mLease != nullptr; }
+  bool IsIdleSince(TimePoint aSince) const { return mLease && mUsedAt < aSince; }
 
 private:
   void OnReplies(std::vector<ConnectionReply> aReplies,
                  StatementTerms aTerms,
                  const peer::LentLink::Replies& aDone)
   {
-    mIsBusy = false;
     auto sentAt = std::exchange(mUsedAt, Clock::now());
-    bool isSent = !aReplies.empty() && !aReplies.back().mRetryAt;
-    if (isSent) {
-      mPool->OnReply(aReplies.back(), sentAt);
-      mPool->OnResult(aReplies.back().mCode);
+    const auto& last = aReplies.back();
+    if (!last.mRetryAt) {
+      mPool->OnReply(last, sentAt);
+      mPool->OnResult(last.mCode);
+    }
+    if (!mLease) {
+      // The borrower is gone.
+      aDone({ std::move(aReplies), {} });
+      return;
+    }
+    auto replies = mSession.ToBorrower(std::move(aReplies), *mLease->mConnectionState);
+    mIsClean = IsClean(replies.back());
+    if (mIsClean || replies.back().mCode == ReplyCode::Lost) {
+      End();
     }
     aTerms.mIsInTransaction = false;
-    aDone({ std::move(aReplies), mPool->ExpectedWait(aTerms) });
+    aDone({ std::move(replies), mPool->ExpectedWait(aTerms) });
+  }
+
+  // A refusal before the batch was sent leaves a transaction as it was, so it is clean
+  // only outside of one.
+  bool IsClean(const ConnectionReply& aLast)
+  {
+    bool isSent = !aLast.mRetryAt;
+    if (isSent) {
+      mIsInTransaction = aLast.mTransaction != TransactionState::None;
+    }
+    return !mIsInTransaction && aLast.mCode != ReplyCode::Lost;
   }
 
   PoolPtr mPool;
   LeasePtr mLease;
+  LentSession mSession;
   TimePoint mUsedAt;
-  bool mIsUsed = false;
-  bool mIsBusy = false;
+  bool mIsInTransaction = false;
+  // Whether the connection may be used again if the loan ends now.
+  bool mIsClean = true;
 };
 
 // What the RPC layer holds for the borrower.
@@ -111,10 +133,7 @@
   }
   LentConnection(const LentConnection&) = delete;
   LentConnection& operator=(const LentConnection&) = delete;
-  ~LentConnection() override
-  {
-    mLoop.Post([loan = std::move(mLoan)] { loan->End(); });
-  }
+  ~LentConnection() override { Return(); }
 
   void Send(std::vector<ConnectionCommand> aCommands,
             StatementTerms aTerms,
@@ -126,9 +145,9 @@
                 done = std::move(aDone)] { loan->Send(commands, terms, done); });
   }
 
-  void Return(SharedConnectionState aState) override
+  void Return() override
   {
-    mLoop.Post([loan = mLoan, state = std::move(aState)] { loan->Return(state); });
+    mLoop.Post([loan = mLoan] { loan->End(); });
   }
 
 private:
@@ -157,7 +176,7 @@
     Refuse(peer::LinkRefusal::Leaving, now, {}, aDone);
     return;
   }
-  if (pool->IsSuspect(now)) {
+  if (pool->IsSuspect(now) || IsSilent(*pool, now)) {
     Refuse(peer::LinkRefusal::Unreachable, now + kRetryPause, {}, aDone);
     return;
   }
@@ -174,33 +193,46 @@
   request.mTerms = terms;
   pool->Acquire(mNextTicket++,
                 request,
-                [this, pool, terms, aDone](tl::expected<LeasePtr, Refusal> aLease) {
-                  OnGranted(pool, terms, std::move(aLease), aDone);
+                [this, pool, aRequest, aDone](tl::expected<LeasePtr, Refusal> aLease) {
+                  if (aLease) {
+                    OnGranted(pool, aRequest, *aLease, aDone);
+                    return;
+                  }
+                  bool isReachable = !pool->IsSuspect(Clock::now());
+                  Refuse(isReachable ? peer::LinkRefusal::Overloaded
+                                     : peer::LinkRefusal::Unreachable,
+                         aLease.error().mRetryAt,
+                         pool->ExpectedWait(aRequest.mTerms),
+                         aDone);
                 });
 }
 
 void LinkLender::OnGranted(const PoolPtr& aPool,
-                           const StatementTerms& aTerms,
-                           tl::expected<LeasePtr, Refusal> aLease,
+                           const peer::LinkRequest& aRequest,
+                           LeasePtr aLease,
                            const std::function<void(peer::LinkOffer)>& aDone)
 {
-  if (!aLease) {
-    bool isReachable = !aPool->IsSuspect(Clock::now());
-    Refuse(isReachable ? peer::LinkRefusal::Overloaded : peer::LinkRefusal::Unreachable,
-           aLease.error().mRetryAt,
-           aPool->ExpectedWait(aTerms),
-           aDone);
-    return;
-  }
   mCount("homes.lent");
-  auto loan = std::make_shared<Loan>(aPool, *aLease);
+  auto loan = std::make_shared<Loan>(aPool, std::move(aLease));
   std::erase_if(mLoans, [](const auto& aIt) { return aIt.expired(); });
   mLoans.push_back(loan);
-  peer::LinkOffer offer;
-  offer.mContents = *(*aLease)->mConnectionState;
-  offer.mExpectedWait = aPool->ExpectedWait(aTerms);
-  offer.mLink = std::make_shared<LentConnection>(mLoop, std::move(loan));
-  aDone(std::move(offer));
+  if (aRequest.mCommands.empty()) {
+    peer::LinkOffer offer;
+    offer.mLink = std::make_shared<LentConnection>(mLoop, loan);
+    offer.mExpectedWait = aPool->ExpectedWait(aRequest.mTerms);
+    aDone(std::move(offer));
+    return;
+  }
+  auto onReplies = [this, loan, aDone](peer::LinkReplies aReplies) {
+    peer::LinkOffer offer;
+    offer.mReplies = std::move(aReplies.mReplies);
+    offer.mExpectedWait = aReplies.mExpectedWait;
+    if (loan->IsOpen()) {
+      offer.mLink = std::make_shared<LentConnection>(mLoop, loan);
+    }
+    aDone(std::move(offer));
+  };
+  loan->Send(aRequest.mCommands, aRequest.mTerms, onReplies);
 }
 
 void LinkLender::Refuse(peer::LinkRefusal aRefusal,
@@ -229,8 +261,10 @@
 
 std::size_t LinkLender::LentCount() const
 {
-  return std::count_if(
-    mLoans.begin(), mLoans.end(), [](const auto& aIt) { return !aIt.expired(); });
+  return std::count_if(mLoans.begin(), mLoans.end(), [](const auto& aIt) {
+    auto loan = aIt.lock();
+    return loan && loan->IsOpen();
+  });
 }
 
 } // namespace sesameway::proxy
--- a/src/proxy/LinkLender.h
+++ b/src/proxy/LinkLender.h
@@ -37,8 +37,8 @@
   class LentConnection;
 
   void OnGranted(const PoolPtr& aPool,
-                 const StatementTerms& aTerms,
-                 tl::expected<LeasePtr, Refusal> aLease,
+                 const peer::LinkRequest& aRequest,
+                 LeasePtr aLease,
                  const std::function<void(peer::LinkOffer)>& aDone);
   void Refuse(peer::LinkRefusal aRefusal,
               TimePoint aRetryAt,
--- a/src/proxy/Transport.h
+++ b/src/proxy/Transport.h
@@ -6,7 +6,6 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <tl/expected.hpp>
 #include <vector>
@@ -28,11 +27,6 @@
   // Says how urgent the batches that follow are. A connection without a queue before
   // the database ignores it.
   virtual void SetTerms(const StatementTerms&) {}
-  // What was set and prepared on the connection before this daemon got it.
-  virtual SharedConnectionState InitialState() const { return {}; }
-  // Gives the connection up in a clean state, with what is set and prepared on it, so
-  // that its owner may use it again.
-  virtual void Return(const SharedConnectionState&) { Close(); }
   // Closes the connection, upon which the database rolls back an open transaction. A
   // batch in progress ends with Lost; the OnBroken callback is not called.
   virtual void Close() = 0;
@@ -53,33 +47,12 @@
   // The expected name of the database, because the address may belong to another one by
   // now.
   std::string mDatabase;
-  // What the statement needs for which the connection is opened.
-  StatementTerms mTerms{};
-};
-
-// Why no connection was opened.
-struct OpenError
-{
-  // Not explicit, as most connectors know no more than the code.
-  OpenError(ReplyCode aCode) // NOLINT(google-explicit-constructor)
-    : mCode(aCode)
-  {
-  }
-  OpenError(ReplyCode aCode, TimePoint aRetryAt)
-    : mCode(aCode)
-    , mRetryAt(aRetryAt)
-  {
-  }
-  ReplyCode mCode;
-  // Set if the statement for which it was to be opened can't be served in time: when to
-  // try again.
-  std::optional<TimePoint> mRetryAt;
 };
 
 class DatabaseConnector
 {
 public:
-  using OpenCallback = std::function<void(tl::expected<DatabaseLinkPtr, OpenError>)>;
+  using OpenCallback = std::function<void(tl::expected<DatabaseLinkPtr, ReplyCode>)>;
   virtual ~DatabaseConnector() = default;
   virtual void Open(const LinkTarget& aTarget,
                     TimePoint aDeadline,
