openLink carries a first batch; contents of connections leave the wire

What is set and prepared on the connection crossed twice per statement, and a statement took three calls: open, send, return.

The home knows what it has sent on its connection, so it can work out the contents from the commands of the batches. ConnectionContents and its entries are removed from the messages, from LinkOffer and from LentLink::Return. LinkRequest gains the first batch and LinkOffer its replies; an offer after a first batch may come without a link. None of these messages has been released, so the remaining fields are renumbered.

--- a/proto/peer.capnp
+++ b/proto/peer.capnp
@@ -117,7 +117,8 @@
 }
 
 # What a statement needs of the database that runs it. Times are the time left, 0 once it
-# has passed; a goal of 0 means that there is none.
+# has passed; a goal of 0 means that there is none. A missing organisation stands for that
+# of `openLink`.
 struct Terms {
   priority @0 :UInt32;
   goalUs @1 :UInt64;
@@ -156,25 +157,6 @@
   retryAfterUs @8 :UInt64;
 }
 
-struct SessionValue {
-  name @0 :Text;
-  value @1 :Data;
-}
-
-struct PreparedEntry {
-  name @0 :Text;
-  write @1 :Bool;
-  shape @2 :Data;
-}
-
-# What is set and prepared on a connection. If it is unknown, the next use of the
-# connection resets it.
-struct ConnectionContents {
-  values @0 :List(SessionValue);
-  prepared @1 :List(PreparedEntry);
-  unknown @2 :Bool;
-}
-
 # A connection to a database that its home lends to another daemon. Dropping the
 # capability without `return` closes the connection, which rolls back its transaction.
 interface Link {
@@ -182,8 +164,8 @@
   # wait of a new statement at this database.
   send @0 (commands :List(LinkCommand), terms :Terms) ->
       (replies :List(LinkReply), waitUs :UInt64);
-  # Returns the connection in a clean state, with what is set and prepared on it.
-  return @1 (contents :ConnectionContents) -> ();
+  # Returns the connection in a clean state.
+  return @1 () -> ();
 }
 
 interface Peer {
@@ -220,11 +202,16 @@
   # The same as `primary` for several groups. If none is named, returns the groups whose
   # primary the callee has not heard from for a while.
   primaries @8 (groups :List(Text)) -> (primaries :List(GroupPrimary));
-  # Asks a home of the database for a connection of this organisation. `refusal` is 0 if
-  # there is a link; 1: the callee is not a home of the database, 2: it is leaving, 3: it
-  # is overloaded, 4: the database does not answer it. `retryAfterUs` belongs to the
-  # refusal, 0 for none. `waitUs` is the expected wait of a new statement.
-  openLink @9 (database :Text, group :Text, organisation :Text, terms :Terms) ->
-      (link :Link, contents :ConnectionContents, refusal :UInt8, retryAfterUs :UInt64,
-       waitUs :UInt64);
+  # Asks a home of the database for a connection of this organisation and runs a first
+  # batch on it, unless `commands` is empty. `refusal` is 0 if the request is not refused;
+  # 1: the callee is not a home of the database, 2: it is leaving, 3: it is overloaded, 4:
+  # the database does not answer it. `retryAfterUs` belongs to the refusal, 0 for none.
+  # `waitUs` is the expected wait of a new statement. There are as many replies as
+  # commands, or a single one with a retry time if the batch was refused before it was
+  # sent. After a first batch there may be no link: the batch left no transaction open,
+  # and the callee has taken the connection back.
+  openLink @9 (database :Text, group :Text, organisation :Text, terms :Terms,
+               commands :List(LinkCommand)) ->
+      (link :Link, refusal :UInt8, retryAfterUs :UInt64, waitUs :UInt64,
+       replies :List(LinkReply));
 }
--- a/src/peer/Link.h
+++ b/src/peer/Link.h
@@ -40,9 +40,9 @@
   virtual void Send(std::vector<ConnectionCommand> aCommands,
                     StatementTerms aTerms,
                     Replies aDone) = 0;
-  // Returns the connection in a clean state, with what is set and prepared on it. No
-  // batch may be in progress, and none may follow.
-  virtual void Return(SharedConnectionState aContents) = 0;
+  // Returns the connection in a clean state. No batch may be in progress, and none may
+  // follow.
+  virtual void Return() = 0;
 };
 
 // Why a daemon does not lend a connection.
@@ -66,20 +66,24 @@
   std::string mGroup;
   std::string mOrganisation;
   StatementTerms mTerms;
+  // The first batch; empty to get the link alone.
+  std::vector<ConnectionCommand> mCommands{};
 };
 
 // The answer to a request for a connection.
 struct LinkOffer
 {
-  // Null if refused.
+  // Null if refused. Also null after a first batch that left no transaction open, if the
+  // home has taken the connection back.
   std::shared_ptr<LentLink> mLink;
-  // What is set and prepared on the connection.
-  SharedConnectionState mContents;
   LinkRefusal mRefusal = LinkRefusal::None;
   // When a refused request may be tried again; TimePoint{} if the home names no time.
   TimePoint mRetryAt{};
   // Expected wait of a new statement at the database.
   Duration mExpectedWait{};
+  // The replies to the first batch: as many as commands, or a single one with mRetryAt
+  // if the whole batch was refused before it was sent.
+  std::vector<ConnectionReply> mReplies{};
 };
 
 } // namespace sesameway::peer
--- a/src/peer/Peer.h
+++ b/src/peer/Peer.h
@@ -141,8 +141,10 @@
   virtual void OnStandDown(const std::string& aGroup,
                            std::uint64_t aChange,
                            std::function<void()> aDone) = 0;
-  // Lends a connection to a database. Calls `aDone` once, on any thread. A handler that
-  // is no home of any database refuses.
+  // Lends a connection to a database and runs the request's first batch on it. Calls
+  // `aDone` once, on any thread. If the borrower has given up by then, an unused link is
+  // returned, and one with a first batch is dropped. A handler that is no home of any
+  // database refuses.
   virtual void OnOpenLink(LinkRequest, std::function<void(LinkOffer)> aDone)
   {
     LinkOffer offer;
@@ -211,7 +213,7 @@
                          std::function<void(bool)> aDone) = 0;
   // Borrows a connection to a database from one of its homes. Passes no offer without
   // an answer by the deadline, or from a peer of a former version or that answers with
-  // an error.
+  // an error; a first batch may then have run.
   virtual void OpenLink(const std::string&,
                         LinkRequest,
                         TimePoint,
