Borrowers ask the other home after one that does not answer, and count its silence

A refused connection to a home's process is no answer and counts at once; a batch that its session gives up counts only after 400 ms without any answer of that home. The end of a transaction whose connection is gone is not sent on another connection.

--- a/src/proxy/LinkBorrower.cpp
+++ b/src/proxy/LinkBorrower.cpp
@@ -12,13 +12,15 @@
 
 namespace {
 
-// A home answers a request for a connection alone within 400 ms; the rest is for the way
-// there and back.
+// A home answers a request for a connection alone within 400 ms; the rest is for the
+// way there and back.
 constexpr Duration kHomeTimeout = milliseconds(600);
 // Lets a refusal by the home's queue arrive before this daemon's own deadline.
 constexpr Duration kAnswerReserve = milliseconds(50);
 // Lets the answer to a batch that ends at its deadline arrive.
 constexpr Duration kAnswerAllowance = milliseconds(100);
+// A home that has answered nothing for this long when its caller gives up may be gone.
+constexpr Duration kSilenceLimit = milliseconds(400);
 constexpr Duration kDirectOpenTimeout = milliseconds(1500);
 // When a statement is to come back that no home and no connection of this daemon could
 // take.
@@ -31,6 +33,12 @@
   return !aCommands.empty() && IsWrite(aCommands.back().mKind);
 }
 
+bool EndsTransaction(const std::vector<ConnectionCommand>& aCommands)
+{
+  auto kind = aCommands.empty() ? CommandKind::Rollback : aCommands.back().mKind;
+  return kind == CommandKind::Commit || kind == CommandKind::Rollback;
+}
+
 // A reply to a batch of which nothing was sent.
 std::vector<ConnectionReply> NotSent(const std::string& aReason, TimePoint aRetryAt)
 {
@@ -43,11 +51,12 @@
 
 } // namespace
 
-// A connection of a home that this daemon uses over the home's RPC. Outside transactions
-// the home takes the connection back after each batch, so each batch may run on another
-// connection, and the session is set up with it. A batch that may safely run twice goes
-// to the home with the request for a connection. A write does not: if the home leaves
-// the request unanswered, the write has certainly not run and can go to the other home.
+// A connection of a home that this daemon uses over the home's RPC. Outside
+// transactions the home takes the connection back after each batch, so each batch may
+// run on another connection, and the session is set up with it. A batch that may safely
+// run twice goes to the home with the request for a connection. A write does not: if
+// the home leaves the request unanswered, the write has certainly not run and can go to
+// the other home.
 class LinkBorrower::BorrowedLink
   : public DatabaseLink
   , public std::enable_shared_from_this<LinkBorrower::BorrowedLink>
@@ -72,6 +81,9 @@
       SendDirect();
     } else if (mLent) {
       SendLent();
+    } else if (EndsTransaction(mCommands)) {
+      // The transaction ended with its connection.
+      Finish(NotSent("connection_lost", mSentAt));
     } else {
       mCommands = mSession.WithSetUp(mCommands);
       AskNextHome();
@@ -83,7 +95,7 @@
   void Close() override
   {
     auto self = shared_from_this();
-    if (mDone && !mHome.empty()) {
+    if (mDone && !mHome.empty() && Clock::now() - mSentAt >= kSilenceLimit) {
       mBorrower.OnNotHeard(mHome, mSentAt);
     }
     ++mBatch;
@@ -133,8 +145,9 @@
     bool isWhole = !IsSingleWrite(mCommands);
     if (isWhole) {
       request.mCommands = mCommands;
-      deadline = mTerms.mDeadline == TimePoint::max() ? now + kDirectOpenTimeout
-                                                      : mTerms.mDeadline + kAnswerAllowance;
+      deadline = mTerms.mDeadline == TimePoint::max()
+                   ? now + kDirectOpenTimeout
+                   : mTerms.mDeadline + kAnswerAllowance;
     }
     auto& loop = mBorrower.mLoop;
     auto onOffer = [self = shared_from_this(), &loop, batch = mBatch, isWhole](
@@ -148,7 +161,9 @@
       mBorrower.mAddresses[mHome], std::move(request), deadline, std::move(onOffer));
   }
 
-  void OnOffer(std::uint64_t aBatch, bool aIsWhole, std::optional<peer::LinkOffer> aOffer)
+  void OnOffer(std::uint64_t aBatch,
+               bool aIsWhole,
+               std::optional<peer::LinkOffer> aOffer)
   {
     if (aBatch != mBatch || !mDone) {
       return;
@@ -156,11 +171,11 @@
     if (!aOffer) {
       mBorrower.mCount("homes.no_answer");
       mBorrower.OnNotHeard(mHome, mSentAt);
-      if (aIsWhole) {
-        Finish({});
-      } else {
-        mRefused.insert(mHome);
+      mRefused.insert(mHome);
+      if (Clock::now() < WireTerms().mDeadline) {
         AskNextHome();
+      } else {
+        Finish({});
       }
       return;
     }
@@ -205,8 +220,8 @@
     AskNextHome();
   }
 
-  // A home that can't reach the database is as near to it as can be, so this daemon does
-  // not try itself.
+  // A home that can't reach the database is as near to it as can be, so this daemon
+  // does not try itself.
   void OnNoHome()
   {
     auto now = Clock::now();
@@ -259,14 +274,14 @@
   void SendLent()
   {
     auto& loop = mBorrower.mLoop;
-    mLent->Send(std::move(mCommands),
-                WireTerms(),
-                [self = shared_from_this(), batch = mBatch, &loop](
-                  peer::LinkReplies aReplies) {
-                  loop.Post([self, batch, replies = std::move(aReplies)]() mutable {
-                    self->OnReplies(batch, std::move(replies));
-                  });
-                });
+    mLent->Send(
+      std::move(mCommands),
+      WireTerms(),
+      [self = shared_from_this(), batch = mBatch, &loop](peer::LinkReplies aReplies) {
+        loop.Post([self, batch, replies = std::move(aReplies)]() mutable {
+          self->OnReplies(batch, std::move(replies));
+        });
+      });
   }
 
   void OnReplies(std::uint64_t aBatch, peer::LinkReplies aReplies)
@@ -387,9 +402,8 @@
 {
   auto it = mHeardAt.find(aHome);
   bool isSilent = it == mHeardAt.end() || it->second < aSentAt;
-  auto now = Clock::now();
-  if (isSilent && now - aSentAt >= kAnswerReserve) {
-    mChoice.OnNoAnswer(aHome, now);
+  if (isSilent) {
+    mChoice.OnNoAnswer(aHome, Clock::now());
   }
 }
 
--- a/src/proxy/LinkBorrower.h
+++ b/src/proxy/LinkBorrower.h
@@ -36,7 +36,9 @@
   bool IsUnreachable(const std::string& aDatabase, TimePoint aNow) const;
 
   // Passes a link at once; it asks a home with the first batch.
-  void Open(const LinkTarget& aTarget, TimePoint aDeadline, OpenCallback aDone) override;
+  void Open(const LinkTarget& aTarget,
+            TimePoint aDeadline,
+            OpenCallback aDone) override;
 
 private:
   class BorrowedLink;
@@ -50,7 +52,10 @@
     std::weak_ptr<DatabaseLink> mDirect;
   };
 
-  Borrowing& BorrowingOf(const std::string& aDatabase) { return mBorrowings[aDatabase]; }
+  Borrowing& BorrowingOf(const std::string& aDatabase)
+  {
+    return mBorrowings[aDatabase];
+  }
   void NoteWait(const std::string& aDatabase, Duration aWait);
   // Notes an answer of the home to a call, or that none came to one sent at `aSentAt`.
   void OnHeard(const std::string& aHome);
