Ends of transactions get time of their own

The RPC layer gives a batch up 200 ms after its deadline, and the rollback of a transaction whose statement has met its deadline would have been given up unsent; the home would then close the connection.

--- a/src/proxy/LinkBorrower.cpp
+++ b/src/proxy/LinkBorrower.cpp
@@ -21,6 +21,7 @@
 constexpr Duration kAnswerAllowance = milliseconds(100);
 // A home that has answered nothing for this long when its caller gives up may be gone.
 constexpr Duration kSilenceLimit = milliseconds(400);
+constexpr Duration kEndTimeout = seconds(1);
 constexpr Duration kDirectOpenTimeout = milliseconds(1500);
 // When a statement is to come back that no home and no connection of this daemon could
 // take.
@@ -113,7 +114,10 @@
   StatementTerms WireTerms() const
   {
     auto terms = mTerms;
-    if (!terms.mIsInTransaction && terms.mDeadline != TimePoint::max()) {
+    if (EndsTransaction(mCommands)) {
+      // The end of a transaction may be sent after its last statement's deadline.
+      terms.mDeadline = std::max(terms.mDeadline, Clock::now() + kEndTimeout);
+    } else if (!terms.mIsInTransaction && terms.mDeadline != TimePoint::max()) {
       terms.mDeadline -= kAnswerReserve;
     }
     return terms;
