Run a first batch with openLink, leave out empty fields

openLink converts the commands of the first batch and its replies, with the limits and checks of a batch over a link. Both sides check the number of replies: an offer that does not match its request is an error, and the link that came with it is dropped. A refusal that comes with replies of commands is an error as well, because it would claim that nothing has run.

An offer that comes after the borrower has given up is dropped if it had a first batch, because its transaction may be open; an unused link is returned as before.

Empty texts and lists are not set, and the terms leave out the organisation of openLink. Another organisation is set also if it is empty, so that what arrives is always what was sent.

Cap'n Proto's two-party classes offer no packed encoding: it would need a MessageStream of our own, so messages stay unpacked.

--- a/src/peer/CapnpLinks.cpp
+++ b/src/peer/CapnpLinks.cpp
@@ -29,8 +29,11 @@
 class LinkServer final : public wire::Link::Server
 {
 public:
-  LinkServer(TaskQueuePtr aTaskQueue, std::shared_ptr<LentLink> aLink)
+  LinkServer(TaskQueuePtr aTaskQueue,
+             std::string aOrganisation,
+             std::shared_ptr<LentLink> aLink)
     : mTaskQueue(std::move(aTaskQueue))
+    , mOrganisation(std::move(aOrganisation))
     , mLink(std::move(aLink))
   {
   }
@@ -42,7 +45,7 @@
     if (!commands) {
       return Error(commands.error());
     }
-    auto terms = Read(params.getTerms(), Clock::now());
+    auto terms = Read(params.getTerms(), mOrganisation, Clock::now());
     if (!terms) {
       return Error(terms.error());
     }
@@ -69,21 +72,18 @@
     });
   }
 
-  kj::Promise<void> return_(ReturnContext aContext) override
+  kj::Promise<void> return_(ReturnContext) override
   {
-    auto contents = Read(aContext.getParams().getContents());
-    if (!contents) {
-      return Error(contents.error());
-    }
     if (!mLink || mIsBusy) {
       return Error("link returned or busy");
     }
-    std::exchange(mLink, nullptr)->Return(std::move(*contents));
+    std::exchange(mLink, nullptr)->Return();
     return kj::READY_NOW;
   }
 
 private:
   TaskQueuePtr mTaskQueue;
+  std::string mOrganisation;
   std::shared_ptr<LentLink> mLink;
   bool mIsBusy = false;
 };
@@ -113,11 +113,9 @@
       [links = mLinks, id = mId, batch = std::move(batch)] { links->Send(id, batch); });
   }
 
-  void Return(SharedConnectionState aContents) override
+  void Return() override
   {
-    mTaskQueue->Post([links = mLinks, id = mId, contents = std::move(aContents)] {
-      links->Return(id, contents);
-    });
+    mTaskQueue->Post([links = mLinks, id = mId] { links->Return(id); });
   }
 
 private:
@@ -127,14 +125,6 @@
   std::uint64_t mId;
 };
 
-// Whether the replies have the number that the batch requires.
-bool IsComplete(const LinkReplies& aReplies, std::size_t aCommands)
-{
-  const auto& replies = aReplies.mReplies;
-  return replies.size() == aCommands ||
-         (replies.size() == 1 && replies.front().mRetryAt);
-}
-
 } // namespace
 
 kj::Promise<void> ServeOpenLink(TaskQueuePtr aTaskQueue,
@@ -147,23 +137,33 @@
   }
   aContext.allowCancellation();
   auto paf = kj::newPromiseAndFulfiller<LinkOffer>();
+  auto commands = request->mCommands.size();
   // An offer that comes after the borrower has given up is an unused connection, which
-  // the home can lend again.
-  auto takeBack = [](LinkOffer aOffer) {
-    if (aOffer.mLink) {
-      aOffer.mLink->Return(std::move(aOffer.mContents));
+  // the home can lend again. After a first batch it may have an open transaction, so
+  // the link is dropped.
+  auto takeBack = [commands](LinkOffer aOffer) {
+    if (aOffer.mLink && commands == 0) {
+      aOffer.mLink->Return();
     }
   };
+  auto organisation = request->mOrganisation;
   aHandler->OnOpenLink(
     std::move(*request),
     LoopFulfiller<LinkOffer>(aTaskQueue, kj::mv(paf.fulfiller), takeBack));
-  return paf.promise.then([aTaskQueue, aContext](LinkOffer aOffer) mutable {
-    auto results = aContext.getResults();
-    Fill(aOffer, Clock::now(), results);
-    if (aOffer.mRefusal == LinkRefusal::None && aOffer.mLink) {
-      results.setLink(kj::heap<LinkServer>(aTaskQueue, std::move(aOffer.mLink)));
-    }
-  });
+  return paf.promise.then(
+    [aTaskQueue, aContext, commands, organisation](LinkOffer aOffer) mutable {
+      bool isLent = aOffer.mRefusal == LinkRefusal::None && aOffer.mLink;
+      auto check = Check(aOffer, commands, isLent);
+      if (!check) {
+        kj::throwFatalException(Error(check.error()));
+      }
+      auto results = aContext.getResults();
+      Fill(aOffer, Clock::now(), results);
+      if (isLent) {
+        results.setLink(
+          kj::heap<LinkServer>(aTaskQueue, organisation, std::move(aOffer.mLink)));
+      }
+    });
 }
 
 LinkBatch::LinkBatch(Commands aCommands, StatementTerms aTerms, LentLink::Replies aDone)
@@ -210,8 +210,11 @@
   }
   auto call = aPeer.openLinkRequest();
   Fill(aRequest, Clock::now(), call);
-  return call.send().then([this, onAnswer = std::move(aOnAnswer)](
-                            auto aReply) { return ReadOffer(aReply, onAnswer); },
+  Opening opening{ aRequest.mOrganisation,
+                   aRequest.mCommands.size(),
+                   std::move(aOnAnswer) };
+  return call.send().then([this, opening = std::move(opening)](
+                            auto aReply) { return ReadOffer(aReply, opening); },
                           [](kj::Exception&& aError) -> std::optional<LinkOffer> {
                             // Any other error is an answer: the peer is alive and can't
                             // lend.
@@ -224,21 +227,19 @@
 
 std::optional<LinkOffer> BorrowedLinks::ReadOffer(
   wire::Peer::OpenLinkResults::Reader aReply,
-  std::function<void()> aOnAnswer)
+  const Opening& aOpening)
 {
-  auto offer = Read(aReply, Clock::now());
+  auto offer = Read(aReply, aOpening.mCommands, Clock::now());
   if (!offer) {
     LOG(WARNING) << "event=link_offer_unreadable detail=\"" << offer.error() << '"';
     return std::nullopt;
   }
-  if (offer->mRefusal != LinkRefusal::None) {
+  if (offer->mRefusal != LinkRefusal::None || !aReply.hasLink()) {
     return std::move(*offer);
   }
-  if (!aReply.hasLink()) {
-    return std::nullopt;
-  }
   auto id = mNextId++;
-  mLinks.emplace(id, Borrowed{ aReply.getLink(), std::move(aOnAnswer) });
+  mLinks.emplace(
+    id, Borrowed{ aReply.getLink(), aOpening.mOrganisation, aOpening.mOnAnswer });
   offer->mLink = std::make_shared<RemoteLink>(this, mTaskQueue, id);
   return std::move(*offer);
 }
@@ -255,7 +256,7 @@
   link.mIsBusy = true;
   auto now = Clock::now();
   auto call = link.mClient.sendRequest();
-  Fill(aBatch->mCommands, aBatch->mTerms, now, call);
+  Fill(aBatch->mCommands, aBatch->mTerms, link.mOrganisation, now, call);
   auto until =
     std::min(aBatch->mTerms.mDeadline, now + kLongestBatch) + kBatchAllowance;
   auto left = MicrosUntil(until, now) * kj::MICROSECONDS;
@@ -277,7 +278,7 @@
   auto& link = mLinks.at(aId);
   link.mOnAnswer();
   auto replies = Read(aReply, Clock::now());
-  if (!replies || !IsComplete(*replies, aBatch.mCommands.size())) {
+  if (!replies || !IsComplete(replies->mReplies, aBatch.mCommands.size())) {
     auto detail = replies ? std::string("wrong number of replies") : replies.error();
     LOG(WARNING) << "event=link_replies_unreadable detail=\"" << detail << '"';
     OnLost(aId, aBatch);
@@ -295,7 +296,7 @@
   aBatch.Fail();
 }
 
-void BorrowedLinks::Return(std::uint64_t aId, const SharedConnectionState& aContents)
+void BorrowedLinks::Return(std::uint64_t aId)
 {
   auto it = mLinks.find(aId);
   if (it == mLinks.end()) {
@@ -303,9 +304,7 @@
   }
   // A link with a batch in progress is in no clean state.
   if (!it->second.mIsBusy) {
-    auto call = it->second.mClient.returnRequest();
-    Fill(aContents, call.initContents());
-    mReturns.add(call.send().ignoreResult());
+    mReturns.add(it->second.mClient.returnRequest().send().ignoreResult());
   }
   mLinks.erase(it);
 }
--- a/src/peer/CapnpLinks.h
+++ b/src/peer/CapnpLinks.h
@@ -7,11 +7,13 @@
 
 #include <kj/async-io.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace sesameway::peer {
@@ -54,19 +56,29 @@
 {
 public:
   BorrowedLinks(kj::Timer* aTimer, TaskQueuePtr aTaskQueue);
-  // `aOnAnswer` is called for each answer of the peer to a batch. The promise has no
-  // value if the peer's answer is an error, as that of a peer of a former version.
+  // `aOnAnswer` is called for each answer of the peer to a batch over the link. The
+  // promise has no value if the peer's answer is an error, as that of a peer of a
+  // former version, or can't be read.
   kj::Promise<std::optional<LinkOffer>> Open(wire::Peer::Client aPeer,
                                              const LinkRequest& aRequest,
                                              std::function<void()> aOnAnswer);
   void Send(std::uint64_t aId, const LinkBatchPtr& aBatch);
-  void Return(std::uint64_t aId, const SharedConnectionState& aContents);
+  void Return(std::uint64_t aId);
   void Drop(std::uint64_t aId);
 
 private:
+  // What the answer to a request for a link is read with.
+  struct Opening
+  {
+    std::string mOrganisation;
+    // Size of the first batch.
+    std::size_t mCommands = 0;
+    std::function<void()> mOnAnswer;
+  };
   struct Borrowed
   {
     wire::Link::Client mClient;
+    std::string mOrganisation;
     std::function<void()> mOnAnswer;
     // The batch in progress, or the latest one. Dropping the promise cancels the call.
     kj::Promise<void> mBatch = kj::READY_NOW;
@@ -74,7 +86,7 @@
   };
 
   std::optional<LinkOffer> ReadOffer(wire::Peer::OpenLinkResults::Reader aReply,
-                                     std::function<void()> aOnAnswer);
+                                     const Opening& aOpening);
   void OnReplies(std::uint64_t aId,
                  LinkBatch& aBatch,
                  wire::Link::SendResults::Reader aReply);
--- a/src/peer/CapnpPeers.cpp
+++ b/src/peer/CapnpPeers.cpp
@@ -587,12 +587,13 @@
                 std::function<void(std::optional<LinkOffer>)> aDone) override
   {
     using Offer = std::optional<LinkOffer>;
+    auto request = std::make_shared<LinkRequest>(std::move(aRequest));
     Call<Offer>(
       aAddress,
       aDeadline,
-      [this, aAddress, request = std::move(aRequest)](wire::Peer::Client aPeer) {
+      [this, aAddress, request](wire::Peer::Client aPeer) {
         auto onAnswer = [this, aAddress] { OnAnswer(aAddress, true); };
-        return mLinks->Open(aPeer, request, onAnswer);
+        return mLinks->Open(aPeer, *request, onAnswer);
       },
       [done = std::move(aDone)](std::optional<Offer> aOffer) {
         done(aOffer ? std::move(*aOffer) : std::nullopt);
--- a/src/peer/ConvertLink.cpp
+++ b/src/peer/ConvertLink.cpp
@@ -78,30 +78,22 @@
   return aState <= TransactionState::Failed;
 }
 
-TextSizes SizesOf(const SharedConnectionState& aContents)
+// Sets a text unless it is empty: an empty text that is set takes a word.
+template<typename Builder, typename Value>
+void SetUnlessEmpty(Builder& aTo, void (Builder::*aSet)(Value), Value aValue)
 {
-  TextSizes sizes;
-  for (const auto& it : aContents.Values()) {
-    sizes.Add(it.first).Add(it.second);
-  }
-  for (const auto& it : aContents.Prepared()) {
-    sizes.Add(it.first.mShape).Add(it.second);
+  if (aValue.size() > 0) {
+    (aTo.*aSet)(aValue);
   }
-  return sizes;
-}
-
-bool FitsMessage(const SharedConnectionState& aContents)
-{
-  auto count = aContents.Values().size() + aContents.Prepared().size();
-  return count <= kMaxContents && SizesOf(aContents).Total() <= kMaxContentsBytes;
 }
 
 void Fill(const ConnectionCommand& aFrom, wire::LinkCommand::Builder aTo)
 {
   aTo.setKind(static_cast<std::uint8_t>(aFrom.mKind));
-  aTo.setId(AsText(aFrom.mId));
-  aTo.setText(Bytes(aFrom.mText));
-  aTo.setName(AsText(aFrom.mName));
+  using To = wire::LinkCommand::Builder;
+  SetUnlessEmpty(aTo, &To::setId, AsText(aFrom.mId));
+  SetUnlessEmpty<To, capnp::Data::Reader>(aTo, &To::setText, Bytes(aFrom.mText));
+  SetUnlessEmpty(aTo, &To::setName, AsText(aFrom.mName));
   aTo.setPreparesWrite(aFrom.mPreparesWrite);
   if (aFrom.mAfter) {
     aTo.setHasAfter(true);
@@ -129,12 +121,15 @@
 void Fill(const ConnectionReply& aFrom, TimePoint aNow, wire::LinkReply::Builder aTo)
 {
   aTo.setCode(static_cast<std::uint8_t>(aFrom.mCode));
-  aTo.setDetail(AsText(aFrom.mDetail));
-  auto rows = aTo.initRows(aFrom.mRows.size());
-  for (unsigned n = 0; n < rows.size(); ++n) {
-    rows.set(n, Bytes(aFrom.mRows[n]));
+  using To = wire::LinkReply::Builder;
+  SetUnlessEmpty(aTo, &To::setDetail, AsText(aFrom.mDetail));
+  if (!aFrom.mRows.empty()) {
+    auto rows = aTo.initRows(aFrom.mRows.size());
+    for (unsigned n = 0; n < rows.size(); ++n) {
+      rows.set(n, Bytes(aFrom.mRows[n]));
+    }
   }
-  aTo.setDigest(AsText(aFrom.mDigest));
+  SetUnlessEmpty(aTo, &To::setDigest, AsText(aFrom.mDigest));
   aTo.setTransaction(static_cast<std::uint8_t>(aFrom.mTransaction));
   if (aFrom.mPosition) {
     aTo.setHasPosition(true);
@@ -165,48 +160,95 @@
   return to;
 }
 
-// Returns the value if it passes its check.
-template<typename Value>
-Readable<Value> Checked(Value aValue)
+void FillCommands(const Commands& aFrom, capnp::List<wire::LinkCommand>::Builder aTo)
 {
-  auto check = Check(aValue);
-  if (!check) {
-    return tl::unexpected(check.error());
+  for (unsigned n = 0; n < aTo.size(); ++n) {
+    Fill(aFrom[n], aTo[n]);
   }
-  return aValue;
 }
 
-} // namespace
+void FillReplies(const std::vector<ConnectionReply>& aFrom,
+                 TimePoint aNow,
+                 capnp::List<wire::LinkReply>::Builder aTo)
+{
+  for (unsigned n = 0; n < aTo.size(); ++n) {
+    Fill(aFrom[n], aNow, aTo[n]);
+  }
+}
 
-Readable<void> Check(const StatementTerms& aTerms)
+// Checks only the number of commands.
+Readable<Commands> ReadCommands(capnp::List<wire::LinkCommand>::Reader aFrom)
 {
-  TextSizes sizes;
-  AddTerms(aTerms, sizes);
-  return sizes.Check();
+  if (aFrom.size() > kMaxBatch) {
+    return tl::unexpected(std::string("too many commands"));
+  }
+  Commands to;
+  for (auto it : aFrom) {
+    to.push_back(ReadCommand(it));
+  }
+  return to;
 }
 
-Readable<void> Check(const Commands& aCommands)
+// Checks only the number of replies.
+Readable<std::vector<ConnectionReply>> ReadReplies(
+  capnp::List<wire::LinkReply>::Reader aFrom,
+  TimePoint aNow)
+{
+  if (aFrom.size() > kMaxBatch) {
+    return tl::unexpected(std::string("too many replies"));
+  }
+  std::vector<ConnectionReply> to;
+  for (auto it : aFrom) {
+    to.push_back(ReadReply(it, aNow));
+  }
+  return to;
+}
+
+StatementTerms ReadTerms(wire::Terms::Reader aFrom,
+                         const std::string& aOrganisation,
+                         TimePoint aNow)
+{
+  StatementTerms to;
+  to.mPriority = aFrom.getPriority();
+  if (aFrom.getGoalUs() > 0) {
+    to.mGoalAt = LimitAfter(aFrom.getGoalUs(), aNow);
+  }
+  to.mDeadline = LimitAfter(aFrom.getDeadlineUs(), aNow);
+  to.mIsInTransaction = aFrom.getInTransaction();
+  bool isRepeated = !aFrom.hasOrganisation();
+  to.mOrganisation = isRepeated ? aOrganisation : Text(aFrom.getOrganisation());
+  to.mCostClass = Text(aFrom.getCostClass());
+  return to;
+}
+
+// Adds the texts of a batch, and checks the number and kinds of its commands.
+Readable<void> AddCommands(const Commands& aCommands, TextSizes& aSizes)
 {
   if (aCommands.size() > kMaxBatch) {
     return tl::unexpected(std::string("too many commands"));
   }
-  TextSizes sizes;
   for (const auto& it : aCommands) {
     if (!kCommandKindNames.Holds(static_cast<std::size_t>(it.mKind))) {
       return tl::unexpected(std::string("unknown kind of command"));
     }
-    sizes.Add(it.mId).Add(it.mText).Add(it.mName);
+    aSizes.Add(it.mId).Add(it.mText).Add(it.mName);
   }
-  return sizes.Check();
+  return {};
 }
 
-Readable<void> Check(const LinkReplies& aReplies)
+// Whether a whole batch was refused before it was sent to the database.
+bool IsUnsent(const std::vector<ConnectionReply>& aReplies)
+{
+  return aReplies.size() == 1 && aReplies.front().mRetryAt;
+}
+
+Readable<void> CheckReplies(const std::vector<ConnectionReply>& aReplies)
 {
-  if (aReplies.mReplies.size() > kMaxBatch) {
+  if (aReplies.size() > kMaxBatch) {
     return tl::unexpected(std::string("too many replies"));
   }
   TextSizes sizes;
-  for (const auto& it : aReplies.mReplies) {
+  for (const auto& it : aReplies) {
     if (!kReplyCodeNames.Holds(static_cast<std::size_t>(it.mCode)) ||
         !IsKnown(it.mTransaction)) {
       return tl::unexpected(std::string("unknown code of a reply"));
@@ -219,15 +261,75 @@
   return sizes.Check();
 }
 
+// Returns the value if it passes its check.
+template<typename Value>
+Readable<Value> Checked(Value aValue)
+{
+  auto check = Check(aValue);
+  if (!check) {
+    return tl::unexpected(check.error());
+  }
+  return aValue;
+}
+
+} // namespace
+
+Readable<void> Check(const StatementTerms& aTerms)
+{
+  TextSizes sizes;
+  AddTerms(aTerms, sizes);
+  return sizes.Check();
+}
+
+Readable<void> Check(const Commands& aCommands)
+{
+  TextSizes sizes;
+  auto commands = AddCommands(aCommands, sizes);
+  return commands ? sizes.Check() : commands;
+}
+
+Readable<void> Check(const LinkReplies& aReplies)
+{
+  return CheckReplies(aReplies.mReplies);
+}
+
 Readable<void> Check(const LinkRequest& aRequest)
 {
   TextSizes sizes;
   sizes.Add(aRequest.mDatabase).Add(aRequest.mGroup).Add(aRequest.mOrganisation);
   AddTerms(aRequest.mTerms, sizes);
-  return sizes.Check();
+  auto commands = AddCommands(aRequest.mCommands, sizes);
+  return commands ? sizes.Check() : commands;
 }
 
-void Fill(const StatementTerms& aFrom, TimePoint aNow, wire::Terms::Builder aTo)
+Readable<void> Check(const LinkOffer& aOffer, std::size_t aCommands, bool aHasLink)
+{
+  const auto& replies = aOffer.mReplies;
+  auto check = CheckReplies(replies);
+  if (!check) {
+    return check;
+  }
+  bool isRefused = aOffer.mRefusal != LinkRefusal::None;
+  if (!isRefused && aCommands == 0 && !aHasLink) {
+    return tl::unexpected(std::string("no link"));
+  }
+  // A refusal says that no command was sent, so it comes with no replies of commands.
+  bool isUnsent = aCommands > 0 && IsUnsent(replies);
+  if (replies.size() != (isRefused ? 0 : aCommands) && !isUnsent) {
+    return tl::unexpected(std::string("wrong number of replies"));
+  }
+  return {};
+}
+
+bool IsComplete(const std::vector<ConnectionReply>& aReplies, std::size_t aCommands)
+{
+  return aReplies.size() == aCommands || IsUnsent(aReplies);
+}
+
+void Fill(const StatementTerms& aFrom,
+          const std::string& aOrganisation,
+          TimePoint aNow,
+          wire::Terms::Builder aTo)
 {
   aTo.setPriority(aFrom.mPriority);
   if (aFrom.mGoalAt != TimePoint::max()) {
@@ -235,143 +337,89 @@
   }
   aTo.setDeadlineUs(MicrosUntil(aFrom.mDeadline, aNow));
   aTo.setInTransaction(aFrom.mIsInTransaction);
-  aTo.setOrganisation(AsText(aFrom.mOrganisation));
-  aTo.setCostClass(AsText(aFrom.mCostClass));
+  // Another organisation is set also if it is empty, so that it differs from none.
+  if (aFrom.mOrganisation != aOrganisation) {
+    aTo.setOrganisation(AsText(aFrom.mOrganisation));
+  }
+  SetUnlessEmpty(aTo, &wire::Terms::Builder::setCostClass, AsText(aFrom.mCostClass));
 }
 
-Readable<StatementTerms> Read(wire::Terms::Reader aFrom, TimePoint aNow)
+Readable<StatementTerms> Read(wire::Terms::Reader aFrom,
+                              const std::string& aOrganisation,
+                              TimePoint aNow)
 {
-  StatementTerms to;
-  to.mPriority = aFrom.getPriority();
-  if (aFrom.getGoalUs() > 0) {
-    to.mGoalAt = LimitAfter(aFrom.getGoalUs(), aNow);
-  }
-  to.mDeadline = LimitAfter(aFrom.getDeadlineUs(), aNow);
-  to.mIsInTransaction = aFrom.getInTransaction();
-  to.mOrganisation = Text(aFrom.getOrganisation());
-  to.mCostClass = Text(aFrom.getCostClass());
-  return Checked(std::move(to));
+  return Checked(ReadTerms(aFrom, aOrganisation, aNow));
 }
 
 void Fill(const Commands& aFrom,
           const StatementTerms& aTerms,
+          const std::string& aOrganisation,
           TimePoint aNow,
           wire::Link::SendParams::Builder aTo)
 {
-  auto commands = aTo.initCommands(aFrom.size());
-  for (unsigned n = 0; n < commands.size(); ++n) {
-    Fill(aFrom[n], commands[n]);
+  if (!aFrom.empty()) {
+    FillCommands(aFrom, aTo.initCommands(aFrom.size()));
   }
-  Fill(aTerms, aNow, aTo.initTerms());
+  Fill(aTerms, aOrganisation, aNow, aTo.initTerms());
 }
 
 Readable<Commands> Read(capnp::List<wire::LinkCommand>::Reader aFrom)
 {
-  if (aFrom.size() > kMaxBatch) {
-    return tl::unexpected(std::string("too many commands"));
+  auto to = ReadCommands(aFrom);
+  if (!to) {
+    return to;
   }
-  Commands to;
-  for (auto it : aFrom) {
-    to.push_back(ReadCommand(it));
-  }
-  return Checked(std::move(to));
+  return Checked(std::move(*to));
 }
 
 void Fill(const LinkReplies& aFrom,
           TimePoint aNow,
           wire::Link::SendResults::Builder aTo)
 {
-  auto replies = aTo.initReplies(aFrom.mReplies.size());
-  for (unsigned n = 0; n < replies.size(); ++n) {
-    Fill(aFrom.mReplies[n], aNow, replies[n]);
+  if (!aFrom.mReplies.empty()) {
+    FillReplies(aFrom.mReplies, aNow, aTo.initReplies(aFrom.mReplies.size()));
   }
   aTo.setWaitUs(WaitMicros(aFrom.mExpectedWait));
 }
 
 Readable<LinkReplies> Read(wire::Link::SendResults::Reader aFrom, TimePoint aNow)
 {
-  auto replies = aFrom.getReplies();
-  if (replies.size() > kMaxBatch) {
-    return tl::unexpected(std::string("too many replies"));
+  auto replies = ReadReplies(aFrom.getReplies(), aNow);
+  if (!replies) {
+    return tl::unexpected(replies.error());
   }
   LinkReplies to;
-  for (auto it : replies) {
-    to.mReplies.push_back(ReadReply(it, aNow));
-  }
+  to.mReplies = std::move(*replies);
   to.mExpectedWait = ReadDuration(aFrom.getWaitUs());
   return Checked(std::move(to));
 }
 
-void Fill(const SharedConnectionState& aFrom, wire::ConnectionContents::Builder aTo)
-{
-  if (!FitsMessage(aFrom)) {
-    aTo.setUnknown(true);
-    return;
-  }
-  aTo.setUnknown(aFrom.IsUnknown());
-  auto values = aTo.initValues(aFrom.Values().size());
-  unsigned n = 0;
-  for (const auto& it : aFrom.Values()) {
-    auto to = values[n++];
-    to.setName(AsText(it.first));
-    to.setValue(Bytes(it.second));
-  }
-  auto prepared = aTo.initPrepared(aFrom.Prepared().size());
-  n = 0;
-  for (const auto& it : aFrom.Prepared()) {
-    auto to = prepared[n++];
-    to.setName(AsText(it.second));
-    to.setWrite(it.first.mIsWrite);
-    to.setShape(Bytes(it.first.mShape));
-  }
-}
-
-Readable<SharedConnectionState> Read(wire::ConnectionContents::Reader aFrom)
-{
-  std::size_t count = aFrom.getValues().size();
-  count += aFrom.getPrepared().size();
-  if (count > kMaxContents) {
-    return tl::unexpected(std::string("too many values and prepared statements"));
-  }
-  SessionValues values;
-  for (auto it : aFrom.getValues()) {
-    values[Text(it.getName())] = Text(it.getValue());
-  }
-  SharedConnectionState::PreparedNames prepared;
-  for (auto it : aFrom.getPrepared()) {
-    prepared[{ it.getWrite(), Text(it.getShape()) }] = Text(it.getName());
-  }
-  SharedConnectionState to(std::move(values), std::move(prepared));
-  if (!FitsMessage(to)) {
-    return tl::unexpected(std::string("contents of a connection too large"));
-  }
-  if (aFrom.getUnknown()) {
-    to.SetUnknown();
-  }
-  return to;
-}
-
 void Fill(const LinkRequest& aFrom,
           TimePoint aNow,
           wire::Peer::OpenLinkParams::Builder aTo)
 {
-  aTo.setDatabase(AsText(aFrom.mDatabase));
-  aTo.setGroup(AsText(aFrom.mGroup));
-  aTo.setOrganisation(AsText(aFrom.mOrganisation));
-  Fill(aFrom.mTerms, aNow, aTo.initTerms());
+  using To = wire::Peer::OpenLinkParams::Builder;
+  SetUnlessEmpty(aTo, &To::setDatabase, AsText(aFrom.mDatabase));
+  SetUnlessEmpty(aTo, &To::setGroup, AsText(aFrom.mGroup));
+  SetUnlessEmpty(aTo, &To::setOrganisation, AsText(aFrom.mOrganisation));
+  Fill(aFrom.mTerms, aFrom.mOrganisation, aNow, aTo.initTerms());
+  if (!aFrom.mCommands.empty()) {
+    FillCommands(aFrom.mCommands, aTo.initCommands(aFrom.mCommands.size()));
+  }
 }
 
 Readable<LinkRequest> Read(wire::Peer::OpenLinkParams::Reader aFrom, TimePoint aNow)
 {
-  auto terms = Read(aFrom.getTerms(), aNow);
-  if (!terms) {
-    return tl::unexpected(terms.error());
+  auto commands = ReadCommands(aFrom.getCommands());
+  if (!commands) {
+    return tl::unexpected(commands.error());
   }
   LinkRequest to;
   to.mDatabase = Text(aFrom.getDatabase());
   to.mGroup = Text(aFrom.getGroup());
   to.mOrganisation = Text(aFrom.getOrganisation());
-  to.mTerms = std::move(*terms);
+  to.mTerms = ReadTerms(aFrom.getTerms(), to.mOrganisation, aNow);
+  to.mCommands = std::move(*commands);
   return Checked(std::move(to));
 }
 
@@ -379,30 +427,38 @@
           TimePoint aNow,
           wire::Peer::OpenLinkResults::Builder aTo)
 {
-  Fill(aFrom.mContents, aTo.initContents());
   aTo.setRefusal(static_cast<std::uint8_t>(aFrom.mRefusal));
   if (aFrom.mRetryAt != TimePoint{}) {
     aTo.setRetryAfterUs(MicrosLeft(aFrom.mRetryAt, aNow));
   }
   aTo.setWaitUs(WaitMicros(aFrom.mExpectedWait));
+  if (!aFrom.mReplies.empty()) {
+    FillReplies(aFrom.mReplies, aNow, aTo.initReplies(aFrom.mReplies.size()));
+  }
 }
 
-Readable<LinkOffer> Read(wire::Peer::OpenLinkResults::Reader aFrom, TimePoint aNow)
+Readable<LinkOffer> Read(wire::Peer::OpenLinkResults::Reader aFrom,
+                         std::size_t aCommands,
+                         TimePoint aNow)
 {
   if (!kLinkRefusalNames.Holds(aFrom.getRefusal())) {
     return tl::unexpected(std::string("unknown refusal"));
   }
-  auto contents = Read(aFrom.getContents());
-  if (!contents) {
-    return tl::unexpected(contents.error());
+  auto replies = ReadReplies(aFrom.getReplies(), aNow);
+  if (!replies) {
+    return tl::unexpected(replies.error());
   }
   LinkOffer to;
-  to.mContents = std::move(*contents);
   to.mRefusal = static_cast<LinkRefusal>(aFrom.getRefusal());
   if (aFrom.getRetryAfterUs() > 0) {
     to.mRetryAt = aNow + ReadDuration(aFrom.getRetryAfterUs());
   }
   to.mExpectedWait = ReadDuration(aFrom.getWaitUs());
+  to.mReplies = std::move(*replies);
+  auto check = Check(to, aCommands, aFrom.hasLink());
+  if (!check) {
+    return tl::unexpected(check.error());
+  }
   return to;
 }
 
--- a/src/peer/ConvertLink.h
+++ b/src/peer/ConvertLink.h
@@ -19,10 +19,6 @@
 inline constexpr std::size_t kMaxBatch = 64;
 inline constexpr std::size_t kMaxTextBytes = std::size_t{ 1 } << 20;
 inline constexpr std::size_t kMaxMessageBytes = std::size_t{ 32 } << 20;
-// Values and prepared statements of a connection, and their size in all. To reset a
-// connection with more costs less than to describe it to another daemon.
-inline constexpr std::size_t kMaxContents = 256;
-inline constexpr std::size_t kMaxContentsBytes = std::size_t{ 1 } << 20;
 
 // A value that was read, or what is wrong with the message.
 template<typename Value>
@@ -34,13 +30,29 @@
 Readable<void> Check(const Commands& aCommands);
 Readable<void> Check(const LinkReplies& aReplies);
 Readable<void> Check(const LinkRequest& aRequest);
+// Includes the number of replies to a first batch of that many commands, and whether
+// there is a link.
+Readable<void> Check(const LinkOffer& aOffer, std::size_t aCommands, bool aHasLink);
 
-// Fill expects a value that passes its check.
-void Fill(const StatementTerms& aFrom, TimePoint aNow, wire::Terms::Builder aTo);
-Readable<StatementTerms> Read(wire::Terms::Reader aFrom, TimePoint aNow);
+// Whether the replies have the number that a batch of that many commands requires.
+bool IsComplete(const std::vector<ConnectionReply>& aReplies, std::size_t aCommands);
+
+// Fill expects a value that passes its check. It leaves out fields that have their
+// default: an empty text or list that is set takes space in the message.
+
+// `aOrganisation` is that of the request for the link, which the message of the terms
+// does not repeat.
+void Fill(const StatementTerms& aFrom,
+          const std::string& aOrganisation,
+          TimePoint aNow,
+          wire::Terms::Builder aTo);
+Readable<StatementTerms> Read(wire::Terms::Reader aFrom,
+                              const std::string& aOrganisation,
+                              TimePoint aNow);
 
 void Fill(const Commands& aFrom,
           const StatementTerms& aTerms,
+          const std::string& aOrganisation,
           TimePoint aNow,
           wire::Link::SendParams::Builder aTo);
 Readable<Commands> Read(capnp::List<wire::LinkCommand>::Reader aFrom);
@@ -50,19 +62,17 @@
           wire::Link::SendResults::Builder aTo);
 Readable<LinkReplies> Read(wire::Link::SendResults::Reader aFrom, TimePoint aNow);
 
-// Contents that exceed the limits are sent as unknown.
-void Fill(const SharedConnectionState& aFrom, wire::ConnectionContents::Builder aTo);
-Readable<SharedConnectionState> Read(wire::ConnectionContents::Reader aFrom);
-
 void Fill(const LinkRequest& aFrom,
           TimePoint aNow,
           wire::Peer::OpenLinkParams::Builder aTo);
 Readable<LinkRequest> Read(wire::Peer::OpenLinkParams::Reader aFrom, TimePoint aNow);
 
-// The link itself is not converted.
+// The link itself is not converted. `aCommands` is the size of the first batch.
 void Fill(const LinkOffer& aFrom,
           TimePoint aNow,
           wire::Peer::OpenLinkResults::Builder aTo);
-Readable<LinkOffer> Read(wire::Peer::OpenLinkResults::Reader aFrom, TimePoint aNow);
+Readable<LinkOffer> Read(wire::Peer::OpenLinkResults::Reader aFrom,
+                         std::size_t aCommands,
+                         TimePoint aNow);
 
 } // namespace sesameway::peer
--- a/src/peer/Link.h
+++ b/src/peer/Link.h
@@ -73,8 +73,8 @@
 // The answer to a request for a connection.
 struct LinkOffer
 {
-  // Null if refused. Also null after a first batch that left no transaction open, if the
-  // home has taken the connection back.
+  // Null if refused. Also null after a first batch that left no transaction open, if
+  // the home has taken the connection back.
   std::shared_ptr<LentLink> mLink;
   LinkRefusal mRefusal = LinkRefusal::None;
   // When a refused request may be tried again; TimePoint{} if the home names no time.
--- a/src/peer/Peer.h
+++ b/src/peer/Peer.h
@@ -142,9 +142,9 @@
                            std::uint64_t aChange,
                            std::function<void()> aDone) = 0;
   // Lends a connection to a database and runs the request's first batch on it. Calls
-  // `aDone` once, on any thread. If the borrower has given up by then, an unused link is
-  // returned, and one with a first batch is dropped. A handler that is no home of any
-  // database refuses.
+  // `aDone` once, on any thread. If the borrower has given up by then, an unused link
+  // is returned, and one with a first batch is dropped. A handler that is no home of
+  // any database refuses.
   virtual void OnOpenLink(LinkRequest, std::function<void(LinkOffer)> aDone)
   {
     LinkOffer offer;
