BorrowedLinkTest: choose the port just before its use

2 of 60 runs ended with 'Address already in use': all fixtures are constructed at the start of the program, and other tests' sockets took ports that were chosen then.

--- a/test/proxy/BorrowedLinkTest.cpp
+++ b/test/proxy/BorrowedLinkTest.cpp
@@ -250,11 +250,19 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  // All fixtures exist from the start of the program. The port is chosen just before
+  // its use, because another socket may take it in between.
   void setUp() override
   {
+    mAddress = test::FreeAddress();
     mHomePeers = CapnpPeers::Start(mAddress, &mHome);
     mPeers = CapnpPeers::Start("127.0.0.1:0", &mNoHandler);
   }
+  void tearDown() override
+  {
+    mPeers.reset();
+    mHomePeers.reset();
+  }
 
 private:
   std::optional<LinkOffer> Open(const std::string& aAddress,
@@ -620,7 +628,7 @@
 
   Home mHome;
   test::NoPeerHandler mNoHandler;
-  std::string mAddress = test::FreeAddress();
+  std::string mAddress;
   std::unique_ptr<CapnpPeers> mHomePeers;
   std::unique_ptr<CapnpPeers> mPeers;
   Slot<LinkReplies> mReplies;
