Read a batch's terms before the batch is moved

The order in which arguments are evaluated is not defined, so the terms of a lent batch could be taken from an empty one, which counts as the end of a transaction.

--- a/src/proxy/LinkBorrower.cpp
+++ b/src/proxy/LinkBorrower.cpp
@@ -278,9 +278,10 @@
   void SendLent()
   {
     auto& loop = mBorrower.mLoop;
+    auto terms = WireTerms();
     mLent->Send(
       std::move(mCommands),
-      WireTerms(),
+      std::move(terms),
       [self = shared_from_this(), batch = mBatch, &loop](peer::LinkReplies aReplies) {
         loop.Post([self, batch, replies = std::move(aReplies)]() mutable {
           self->OnReplies(batch, std::move(replies));
