Evacuation of a zone

Why: an operator must be able to take a zone out of use for statements while its databases still run. The store's object evacuations/ZONE asks for it.

Weighed: the coordinator could mark databases as leaving in its own records, but a daemon would then depend on the coordinator to stop sending; so each daemon follows the objects itself, and the coordinator only changes primaries. An object that is missing after the store's generation has changed is not taken as a removal, since a copy from before the evacuation lacks it too; the evacuation stays in force and is written back, so that the operator can remove it. During a change of primary a write waits for the new primary, as before; otherwise what only the evacuated primary could run is refused at once.

The kind is followed only if the settings have parameters.evacuateMs.

--- a/include/sesameway/Promotion.h
+++ b/include/sesameway/Promotion.h
@@ -97,6 +97,7 @@
     OutOfReachOfMost,
     // Another database is primary of a newer term without an order of the coordinator.
     ReplacedUnasked,
+    Evacuated,
   };
 
   // The coordinator's view of the group's databases and of all daemons.
@@ -114,6 +115,13 @@
     // Fencing token of this coordinator's lease.
     std::uint64_t mFence = 0;
     std::string mSelf;
+    // Databases of these zones are not used: their primaries are replaced, and none of
+    // them becomes primary.
+    std::set<std::string> mEvacuatedZones;
+    bool IsEvacuated(const ListedDatabase& aDatabase) const
+    {
+      return mEvacuatedZones.contains(aDatabase.mZone);
+    }
   };
 
   explicit PromotionPlan(std::string aGroup)
@@ -261,13 +269,14 @@
   // Time from which no order sent before the one to mOrdered can take effect.
   TimePoint mEarlierOrderDeadline{};
 };
-inline constexpr NameTable<PromotionPlan::Cause, 6> kPromotionCauseNames{
+inline constexpr NameTable<PromotionPlan::Cause, 7> kPromotionCauseNames{
   { "none",
     "no_record",
     "leaving",
     "silent",
     "out_of_reach_of_most",
-    "replaced_unasked" }
+    "replaced_unasked",
+    "evacuated" }
 };
 
 } // namespace sesameway
--- a/src/core/Promotion.cpp
+++ b/src/core/Promotion.cpp
@@ -187,7 +187,8 @@
   bool isQuiet = aNow - std::max(primary.mHeardAt, mStartedAt) > kQuiet;
   bool isOutdated = IsOutdated(aRecord.mGeneration, aRevision);
   const auto* listed = Find(aClusterState, aRecord.mPrimary);
-  if (isQuiet || isOutdated || listed == nullptr || listed->mIsLeaving) {
+  if (isQuiet || isOutdated || listed == nullptr || listed->mIsLeaving ||
+      aClusterState.IsEvacuated(*listed)) {
     ProbeAll(aClusterState, kProbeInterval, aNow, aActions);
   }
   bool isUrgent = isQuiet || aNow - mLossReportedAt < kLossQueryTime;
@@ -268,6 +269,9 @@
   if (isGone || (listed != nullptr && listed->mIsLeaving)) {
     return Cause::Leaving;
   }
+  if (listed != nullptr && aClusterState.IsEvacuated(*listed)) {
+    return Cause::Evacuated;
+  }
   auto known = mDatabases.find(aRecord.mPrimary);
   auto heardAt = known == mDatabases.end() ? TimePoint{} : known->second.mHeardAt;
   bool isSilent = aNow - std::max(heardAt, mStartedAt) > kSilence;
@@ -367,13 +371,15 @@
 
 // This coordinator or an earlier one may have ordered the promotion of the recorded
 // target, which may still become primary. Until no such order can take effect, no other
-// database may be ordered.
+// database may be ordered. A target in an evacuated zone is given up like one that is
+// gone.
 std::string PromotionPlan::FindTarget(const GroupRecord& aRecord,
                                       const ClusterState& aClusterState,
                                       TimePoint aNow) const
 {
   bool areOrdersOver = aNow >= OrderEffectDeadline();
-  if (Find(aClusterState, aRecord.mTarget) == nullptr) {
+  const auto* target = Find(aClusterState, aRecord.mTarget);
+  if (target == nullptr || aClusterState.IsEvacuated(*target)) {
     return areOrdersOver ? ChooseTarget(aRecord, aClusterState, aNow) : std::string();
   }
   auto known = mDatabases.find(aRecord.mTarget);
@@ -460,7 +466,8 @@
   bool isAnyMissing = false;
   auto since = mQuiescedAt != TimePoint{} ? mQuiescedAt : aNow - kReportAge;
   for (const auto* it : aClusterState.mDatabases) {
-    if (it->mName == aRecord.mPrimary || it->mIsLeaving) {
+    if (it->mName == aRecord.mPrimary || it->mIsLeaving ||
+        aClusterState.IsEvacuated(*it)) {
       continue;
     }
     auto known = mDatabases.find(it->mName);
@@ -486,7 +493,8 @@
   bool doesOldAnswer = old != mDatabases.end() && old->second.mAskedAt >= mQuiescedAt;
   if (!doesOldAnswer) {
     // The old primary's last answer may still be in flight.
-    bool isExpected = mCause == Cause::Leaving && passed < kReportWait;
+    bool isOrderly = mCause == Cause::Leaving || mCause == Cause::Evacuated;
+    bool isExpected = isOrderly && passed < kReportWait;
     return isExpected ? std::string() : name;
   }
   bool isBehind = best->mReport.mReceived < old->second.mReport.mReceived;
--- a/src/proxy/Backend.h
+++ b/src/proxy/Backend.h
@@ -74,6 +74,9 @@
   // Whether statements may be sent on the lease. A lease on a primary ends when a later
   // change of primary begins, even if the same database becomes the primary again.
   virtual bool IsInForce(const ConnectionLease& aLease) const = 0;
+  // Whether a transaction on the lease must end because its database is no longer to be
+  // used. A statement in progress may finish.
+  virtual bool MustEndTransaction(const ConnectionLease&) const { return false; }
   // Whether replies on the lease may be trusted at present without Confirm.
   virtual bool AreRepliesTrusted(const ConnectionLease& aLease) const = 0;
   // Asks the other databases of a primary's group, no earlier than `aSince`, whether
--- a/src/proxy/CallerRun.h
+++ b/src/proxy/CallerRun.h
@@ -71,6 +71,8 @@
   // Rolls back an open transaction between requests. The next statement is refused as
   // aborted with `aReason`.
   void EndTransaction(const char* aReason);
+  // The same if the transaction's database is no longer to be used.
+  void EndTransactionIfEvacuated();
   bool IsIdle() const { return !mIsBusy && mTransaction == TransactionState::None; }
   // The time of the last answer, or of the session's start if there was none.
   TimePoint AnsweredAt() const { return mAnsweredAt; }
--- a/src/proxy/CallerSend.cpp
+++ b/src/proxy/CallerSend.cpp
@@ -13,6 +13,7 @@
 // whether its database is unresponsive. Slow replies of a busy group take about this
 // long.
 constexpr Duration kNoResponseTimeout = milliseconds(500);
+constexpr const char* kEvacuated = "zone_evacuated";
 
 } // namespace
 
@@ -106,6 +107,10 @@
     OnPrimaryReplaced();
     return;
   }
+  if (mTransaction == TransactionState::Open && mBackend.MustEndTransaction(*mLease)) {
+    Fail(ReplyCode::Aborted, kEvacuated);
+    return;
+  }
   auto& attempt = *mAttempt;
   attempt.mSentAt = mEnvironment.Now();
   attempt.mDatabase = mLease->mDatabase;
@@ -242,6 +247,13 @@
   });
 }
 
+void CallerRun::EndTransactionIfEvacuated()
+{
+  if (mLease && mBackend.MustEndTransaction(*mLease)) {
+    EndTransaction(kEvacuated);
+  }
+}
+
 void CallerRun::ReleaseLease(bool aIsBroken)
 {
   if (!mLease) {
--- a/src/proxy/CoordinatorRun.cpp
+++ b/src/proxy/CoordinatorRun.cpp
@@ -190,6 +190,7 @@
   }
   clusterState.mRevision = mParts.mSync.OwnRevision();
   clusterState.mFence = mLease.Fence();
+  clusterState.mEvacuatedZones = mParts.mFleet.CurrentEvacuations().Zones();
   for (const auto* it : clusterState.mDatabases) {
     plan.OnHeard(it->mName, mParts.mFleet.HeardAt(it->mName));
   }
--- a/src/proxy/DatabaseFleet.h
+++ b/src/proxy/DatabaseFleet.h
@@ -4,6 +4,7 @@
 #include "proxy/DatabasePool.h"
 #include "proxy/Loop.h"
 #include "proxy/Settings.h"
+#include "sesameway/Evacuations.h"
 #include "sesameway/HeadPollSchedule.h"
 #include "sesameway/Leadership.h"
 #include "sesameway/Promotion.h"
@@ -19,8 +20,9 @@
 
 // All databases as this daemon sees them: which of them it may use and for what, and
 // its connection pools. Used on the event loop's thread only. FleetPlacement.cpp
-// decides which request gets a connection to which database, FleetPrimary.cpp handles
-// changes of primary, and FleetHeads.cpp tracks the log positions of primaries.
+// decides which request gets a connection to which database, FleetZones.cpp which
+// databases may get it at all, FleetPrimary.cpp handles changes of primary, and
+// FleetHeads.cpp tracks the log positions of primaries.
 class DatabaseFleet : public Backend
 {
 public:
@@ -39,6 +41,12 @@
   void OnRecord(const GroupRecord& aRecord, std::uint64_t aRevision);
   // The store no longer has the group's record.
   void OnRecordRemoved(const std::string& aGroup, std::uint64_t aRevision);
+  // The store has, or no longer has, the object that asks for the evacuation of a zone.
+  void OnEvacuation(const std::string& aZone,
+                    const std::string& aBody,
+                    std::uint64_t aRevision);
+  void OnEvacuationRemoved(const std::string& aZone, std::uint64_t aRevision);
+  const Evacuations& CurrentEvacuations() const { return mEvacuations; }
   // Sets the time up to which this daemon has certainly seen all changes of records.
   void SetContact(TimePoint aContact);
   // Whether this daemon queries primaries for their log positions often, on behalf of
@@ -82,6 +90,7 @@
   void CancelAcquire(std::uint64_t aTicket) override;
   void Release(const LeasePtr& aLease, bool aIsBroken) override;
   bool IsInForce(const ConnectionLease& aLease) const override;
+  bool MustEndTransaction(const ConnectionLease& aLease) const override;
   bool AreRepliesTrusted(const ConnectionLease& aLease) const override;
   void Confirm(const ConnectionLease& aLease,
                TimePoint aSince,
@@ -170,8 +179,16 @@
   // Whether the request waits for a connection to a replica that accepts no new work
   // because it is being removed.
   bool IsAtLeavingReplica(const Pending& aPending) const;
-  // Withdraws the requests that wait for a former primary or for a replica that is
-  // being removed. The next tick chooses another database for them.
+  // Whether the request waits for a connection to a database that it may no longer use.
+  bool IsAtExcluded(const Pending& aPending) const;
+  // Why the request may not use the database; null if it may.
+  const char* ReasonToExclude(const LeaseRequest& aRequest,
+                              const ListedDatabase& aDatabase) const;
+  // Why no database can serve the request, so that waiting is in vain; null if one may.
+  const char* ReasonToRefuse(const LeaseRequest& aRequest) const;
+  // Withdraws the requests that wait for a former primary, for a replica that is being
+  // removed, or for a database that they may no longer use. The next tick chooses
+  // another database for them.
   void WithdrawPlacements(const std::string& aGroup);
   // Returns the leases in use on a primary that is no longer in force.
   std::vector<LeasePtr> LeasesOnReplacedPrimary(const std::string& aGroup) const;
@@ -212,6 +229,7 @@
   std::map<std::string, std::size_t> mDaemonsByZone;
   std::size_t mDaemons = 1;
   DatabaseList mList;
+  Evacuations mEvacuations;
   std::map<std::string, PoolPtr> mPools;
   // Pools of removed or replaced databases, kept while their connections are in use.
   std::vector<PoolPtr> mRetired;
--- a/src/proxy/FleetPlacement.cpp
+++ b/src/proxy/FleetPlacement.cpp
@@ -12,6 +12,9 @@
 constexpr Duration kSameRegionLatency = milliseconds(1);
 constexpr Duration kOtherRegionLatency = milliseconds(20);
 constexpr Duration kRetryPause = milliseconds(300);
+// Retry time of requests that no database may serve. A change of primary usually takes
+// about this long.
+constexpr Duration kExcludedPause = milliseconds(1000);
 
 } // namespace
 
@@ -47,6 +50,10 @@
 {
   auto& pending = mPending.at(aTicket);
   const auto& request = pending.mRequest;
+  if (const auto* reason = ReasonToRefuse(request)) {
+    Refuse(aTicket, reason, Clock::now() + kExcludedPause);
+    return;
+  }
   if (!request.mNeedsPrimary) {
     PlaceRead(aTicket);
     return;
@@ -84,7 +91,7 @@
     auto pool = FindPool(it->mName);
     bool isPrimary = it->mName == group.mLeadership.Record().mPrimary;
     if (!pool || pool->IsSuspect(now) || (isPrimary && !mayUsePrimary) ||
-        (!isPrimary && it->mIsLeaving)) {
+        (!isPrimary && it->mIsLeaving) || ReasonToExclude(request, *it) != nullptr) {
       continue;
     }
     ReadCandidate candidate;
--- a/src/proxy/FleetPrimary.cpp
+++ b/src/proxy/FleetPrimary.cpp
@@ -144,7 +144,9 @@
   for (auto& it : mPending) {
     auto& pending = it.second;
     bool isPlaced = pending.mRequest.mGroup == aGroup && !pending.mDatabase.empty();
-    if (!isPlaced || !(IsReplaced(pending) || IsAtLeavingReplica(pending))) {
+    bool mustMove =
+      IsReplaced(pending) || IsAtLeavingReplica(pending) || IsAtExcluded(pending);
+    if (!isPlaced || !mustMove) {
       continue;
     }
     if (auto pool = FindPool(pending.mDatabase)) {
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -23,6 +23,21 @@
   return static_cast<std::uint32_t>(std::hash<std::string>()(aName) % kRanks);
 }
 
+// Each kind that is followed costs calls to the store, so evacuations are followed only
+// if they are handled.
+std::vector<StoreSync::Kind> FollowedKinds(const Proxy::Adapters& aAdapters)
+{
+  std::vector<StoreSync::Kind> kinds{
+    { kOwnKind, kOwnKindPollTimeout },
+    { std::string(KindOf(aAdapters.mConfigurationObject)), kOtherKindPollTimeout },
+    { aAdapters.mDatabaseKind, kOtherKindPollTimeout },
+  };
+  if (!aAdapters.mEvacuationKind.empty()) {
+    kinds.push_back({ aAdapters.mEvacuationKind, kOtherKindPollTimeout });
+  }
+  return kinds;
+}
+
 class LoopOneShotTimer : public OneShotTimer
 {
 public:
@@ -62,12 +77,7 @@
                                                        mMetrics,
                                                        mAdapters.mStore,
                                                        mSelf))
-  , mSync(
-      aLoop,
-      *mAdapters.mFeed,
-      { { kOwnKind, kOwnKindPollTimeout },
-        { std::string(KindOf(mAdapters.mConfigurationObject)), kOtherKindPollTimeout },
-        { mAdapters.mDatabaseKind, kOtherKindPollTimeout } })
+  , mSync(aLoop, *mAdapters.mFeed, FollowedKinds(mAdapters))
   , mFleet(aLoop, *mAdapters.mDatabases, mSettings, mAdapters.mReadStatus)
   , mRegistration(mSelf.mName, mSelf.mAddress)
   , mWatchers({ mSelf.mName, mSelf.mZone })
@@ -123,6 +133,8 @@
   Register(now);
   FollowStore(now);
   WriteLostRecords(now);
+  WriteLostEvacuations(now);
+  EndEvacuatedTransactions();
   PullFromPeers(now);
   ConnectToOnePeer();
   if (mIsDraining) {
@@ -224,6 +236,18 @@
   }
 }
 
+void Proxy::EndEvacuatedTransactions()
+{
+  if (mFleet.CurrentEvacuations().IsEmpty()) {
+    return;
+  }
+  for (const auto& it : mSessions) {
+    if (auto session = it.lock()) {
+      session->EndTransactionIfEvacuated();
+    }
+  }
+}
+
 bool Proxy::ClosesWithAnswer() const
 {
   return mDrainPlan && mDrainPlan->ClosesWithAnswer(Clock::now());
@@ -234,7 +258,9 @@
   auto age = std::chrono::duration<double>(Clock::now() - mSync.Contact()).count();
   return { { "sessions.open", static_cast<double>(mSessions.size()) },
            { "store.contact_age_s", age },
-           { "coordinator", mCoordinator->IsCoordinator() ? 1.0 : 0.0 } };
+           { "coordinator", mCoordinator->IsCoordinator() ? 1.0 : 0.0 },
+           { "zones.evacuated",
+             static_cast<double>(mFleet.CurrentEvacuations().Zones().size()) } };
 }
 
 } // namespace sesameway::proxy
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -50,10 +50,16 @@
     PromotionClient* mPromotionClient = nullptr;
     std::string mConfigurationObject;
     std::string mDatabaseKind;
+    // Kind of the objects that ask for the evacuation of a zone; empty if it is not
+    // followed.
+    std::string mEvacuationKind;
     std::function<tl::expected<Catalogue, std::string>(const StoredObject&)>
       mReadConfiguration;
     std::function<tl::expected<ListedDatabase, std::string>(const StoredObject&)>
       mReadDatabase;
+    // Returns the zone.
+    std::function<tl::expected<std::string, std::string>(const StoredObject&)>
+      mReadEvacuation;
     std::function<std::optional<DatabaseReport>(const std::string&)> mReadStatus;
   };
 
@@ -106,12 +112,15 @@
   void OnChange(const StoredObject& aObject);
   void OnConfiguration(const StoredObject& aObject);
   void OnDatabase(const StoredObject& aObject);
+  void OnEvacuation(const StoredObject& aObject);
   void OnOwnObject(const StoredObject& aObject);
   void OnMember(const StoredObject& aObject);
   void OnInitialSync();
   void Tick();
   void Register(TimePoint aNow);
   void WriteLostRecords(TimePoint aNow);
+  void WriteLostEvacuations(TimePoint aNow);
+  void EndEvacuatedTransactions();
   // Decides whether to follow the store's changes, and polls a peer in the same region
   // for them if one precedes this daemon by name; see StoreWatchers.
   void FollowStore(TimePoint aNow);
@@ -166,6 +175,7 @@
   PeerPulls mPulls;
   TimePoint mNextRelayPullAt{};
   TimePoint mNextWriteBackAt{};
+  TimePoint mNextEvacuationWriteAt{};
   TimePoint mNextTotalsAt{};
   std::vector<std::string> mSeedPeerAddresses;
 
--- a/src/proxy/ProxyStore.cpp
+++ b/src/proxy/ProxyStore.cpp
@@ -14,6 +14,9 @@
 constexpr Duration kRegisterTimeout = milliseconds(1000);
 constexpr Duration kRegisterPause = milliseconds(700);
 constexpr Duration kWriteBackInterval = seconds(1);
+// How long a daemon that does not follow the store leaves it to the others to write a
+// lost evacuation back.
+constexpr Duration kWriteBackWait = seconds(5);
 
 } // namespace
 
@@ -45,6 +48,8 @@
     OnConfiguration(aObject);
   } else if (kind == mAdapters.mDatabaseKind) {
     OnDatabase(aObject);
+  } else if (!kind.empty() && kind == mAdapters.mEvacuationKind) {
+    OnEvacuation(aObject);
   } else if (kind == kOwnKind) {
     OnOwnObject(aObject);
   }
@@ -105,6 +110,25 @@
   mFleet.OnListed(*database);
 }
 
+// An object that can't be read changes nothing: an earlier version of it stays in
+// force.
+void Proxy::OnEvacuation(const StoredObject& aObject)
+{
+  if (aObject.mDeleted) {
+    mFleet.OnEvacuationRemoved(std::string(IdOf(aObject.mName)), aObject.mRevision);
+    return;
+  }
+  auto zone = mAdapters.mReadEvacuation(aObject);
+  if (!zone) {
+    LOG(WARNING) << daemon::LogLine("evacuation_rejected")
+                      .With("object", aObject.mName)
+                      .With("revision", aObject.mRevision)
+                      .With("expected", zone.error());
+    return;
+  }
+  mFleet.OnEvacuation(*zone, aObject.mBody, aObject.mRevision);
+}
+
 void Proxy::OnOwnObject(const StoredObject& aObject)
 {
   if (aObject.mName == kCoordinatorObject) {
@@ -284,6 +308,30 @@
   }
 }
 
+// Writes evacuations back that the store has lost, so that daemons that start later
+// know of them and the operator can remove them. A daemon that does not follow the
+// store may be the only one that takes an evacuation for lost, so it writes too, but
+// later.
+void Proxy::WriteLostEvacuations(TimePoint aNow)
+{
+  if (mFleet.CurrentEvacuations().IsEmpty() || aNow < mNextEvacuationWriteAt) {
+    return;
+  }
+  mNextEvacuationWriteAt = aNow + kWriteBackInterval;
+  auto until = mSync.IsFollowing() ? aNow : aNow - kWriteBackWait;
+  for (const auto& it : mFleet.CurrentEvacuations().LostUntil(until)) {
+    LOG(WARNING) << daemon::LogLine("write_lost_evacuation").With("zone", it.mZone);
+    mAdapters.mStore->Put(mAdapters.mEvacuationKind + '/' + it.mZone,
+                          it.mBody,
+                          0,
+                          false,
+                          aNow + kRegisterTimeout,
+                          [this](const std::optional<platform::PutResult>& aResult) {
+                            mSync.Apply(aResult);
+                          });
+  }
+}
+
 void Proxy::FollowStore(TimePoint aNow)
 {
   // The coordinator always follows the store because it must learn of new daemons at
--- a/src/proxy/Settings.h
+++ b/src/proxy/Settings.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,9 @@
   // How long sessions are drained after SIGTERM: the time until SIGKILL, less a reserve
   // in which the process exits by itself.
   Duration mGrace = seconds(5);
+  // The time within which an evacuation must be in force on every daemon. Evacuations,
+  // allowed regions and cold databases are handled only if it is set.
+  std::optional<Duration> mEvacuateWithin;
 };
 
 } // namespace sesameway::proxy
--- a/test/core/PromotionTest.cpp
+++ b/test/core/PromotionTest.cpp
@@ -190,6 +190,7 @@
   bool mDoesStoreAnswer = true;
   // Whether the coordinator also sends statements, which the primary answers.
   bool mDoesCoordinatorSendStatements = false;
+  std::set<std::string> mEvacuatedZones;
   int mOrders = 0;
   std::string mLastOrdered;
   int mDemotions = 0;
@@ -303,6 +304,7 @@
     }
     clusterState.mRevision = mSeenRevision;
     clusterState.mFence = mFence;
+    clusterState.mEvacuatedZones = mEvacuatedZones;
     for (const auto& it : mSeenMembers) {
       clusterState.mDaemons.push_back(it.first);
       if (it.second.mIsMissing) {
@@ -478,6 +480,10 @@
   CPPUNIT_TEST(KeepsAPrimaryThatMostDaemonsReach);
   CPPUNIT_TEST(ReplacesAPrimaryThatMostCannotReach);
   CPPUNIT_TEST(HandsOverFromALeavingPrimaryWithoutLoss);
+  CPPUNIT_TEST(ReplacesAnEvacuatedPrimaryByTheLongestLogOutside);
+  CPPUNIT_TEST(AnEvacuatedPrimaryStaysIfNoDatabaseIsOutside);
+  CPPUNIT_TEST(GivesUpATargetWhoseZoneIsEvacuated);
+  CPPUNIT_TEST(TwoGroupsLeaveAZoneAtOnce);
   CPPUNIT_TEST(WaitsUntilTheContactOfASilentDaemonExpires);
   CPPUNIT_TEST(DaemonThatIsGoneForGoodIsNotWaitedFor);
   CPPUNIT_TEST(FleetThatHasLostMostOfItsDaemonsReplacesAPrimary);
@@ -551,6 +557,85 @@
 
   // Guards against lost entries in a planned change of primary: no promotion may be
   // ordered until a replica has received the last entries of the leaving primary.
+  // Puts each database of the group into a zone of its own: i-0 into z0 and so on.
+  static void SpreadOverZones(World& aWorld)
+  {
+    for (auto& it : aWorld.mDatabases) {
+      it.second.mListed.mZone = "z" + it.first.substr(2);
+    }
+  }
+
+  // Guards against a primary that stays in an evacuated zone, and against a successor
+  // in another evacuated zone although its log is longer.
+  void ReplacesAnEvacuatedPrimaryByTheLongestLogOutside()
+  {
+    World world(4);
+    SpreadOverZones(world);
+    world.Run(seconds(2));
+    CPPUNIT_ASSERT_EQUAL(std::string("i-0"), world.Primary());
+    world.At("i-1").mReport.mReceived = { 1, 10 };
+    world.At("i-2").mReport.mReceived = { 1, 9 };
+    world.mEvacuatedZones = { "z0", "z1" };
+    CPPUNIT_ASSERT(world.RunUntilServedBy("i-2", seconds(4)));
+    CPPUNIT_ASSERT_EQUAL(std::string(), world.mOrderedWhileInUse);
+    CPPUNIT_ASSERT_EQUAL(1, world.mOrders);
+    world.mEvacuatedZones = { "z2" };
+    world.At("i-0").mReport.mReceived = { 2, 13 };
+    world.At("i-1").mReport.mReceived = { 2, 12 };
+    CPPUNIT_ASSERT(world.RunUntilServedBy("i-0", seconds(4)));
+  }
+
+  // Guards against a group that gives up its primary although nothing can replace it.
+  void AnEvacuatedPrimaryStaysIfNoDatabaseIsOutside()
+  {
+    World world(4);
+    SpreadOverZones(world);
+    world.Run(seconds(2));
+    world.mEvacuatedZones = { "z0", "z1", "z2" };
+    world.Run(seconds(8));
+    CPPUNIT_ASSERT_EQUAL(0, world.mOrders);
+    CPPUNIT_ASSERT(world.mRecord.mPhase == GroupPhase::Serving);
+    CPPUNIT_ASSERT_EQUAL(std::string("i-0"), world.Primary());
+  }
+
+  // Guards against a target that was chosen before its own zone was evacuated, and that
+  // is ordered again and again.
+  void GivesUpATargetWhoseZoneIsEvacuated()
+  {
+    World world(4);
+    SpreadOverZones(world);
+    world.Run(seconds(2));
+    world.At("i-2").mReport.mReceived = { 1, 9 };
+    world.mAreOrdersLost = true;
+    world.mEvacuatedZones = { "z0" };
+    world.Run(seconds(2));
+    CPPUNIT_ASSERT_EQUAL(std::string("i-1"), world.mLastOrdered);
+    world.mAreOrdersLost = false;
+    world.mEvacuatedZones = { "z0", "z1" };
+    CPPUNIT_ASSERT(world.RunUntilServedBy("i-2", seconds(8)));
+    CPPUNIT_ASSERT_EQUAL(std::string(), world.mOrderedWhileInUse);
+  }
+
+  // Guards against plans of two groups that disturb each other when a zone holds the
+  // primaries of both.
+  void TwoGroupsLeaveAZoneAtOnce()
+  {
+    World first(4);
+    World second(4);
+    for (auto* it : { &first, &second }) {
+      SpreadOverZones(*it);
+      it->Run(seconds(2));
+      it->mEvacuatedZones = { "z0" };
+    }
+    second.At("i-1").mIsUp = false;
+    for (int n = 0; n < 100; ++n) {
+      first.Step();
+      second.Step();
+    }
+    CPPUNIT_ASSERT(first.Primary() != "i-0");
+    CPPUNIT_ASSERT_EQUAL(std::string("i-2"), second.Primary());
+  }
+
   void HandsOverFromALeavingPrimaryWithoutLoss()
   {
     World world(3);
--- a/test/platform/ObjectStoreTest.cpp
+++ b/test/platform/ObjectStoreTest.cpp
@@ -389,6 +389,8 @@
   CPPUNIT_TEST(RejectsEntriesThatNameNoDatabase);
   CPPUNIT_TEST(ReadsSettings);
   CPPUNIT_TEST(ReportsAllErrorsInSettings);
+  CPPUNIT_TEST(EvacuationsAreHandledOnlyIfTheSettingsSaySo);
+  CPPUNIT_TEST(RejectsMalformedEvacuations);
   CPPUNIT_TEST_SUITE_END();
 
   void ReadsAConfiguration()
@@ -452,6 +454,40 @@
     CPPUNIT_ASSERT(settings->mGrace < seconds(6));
   }
 
+  static std::string SettingsWith(const std::string& aParameters)
+  {
+    return R"({"nodeName":"f1","zone":"z","ip":"10.0.0.1","portRange":[7560,7575],
+               "listen":{"front":"10.0.0.1:1","ready":"10.0.0.1:2"},
+               "platform":{"addr":"10.0.0.9:4"},"cloud":{"addr":"10.0.0.9:5"},
+               "parameters":{"graceS":6)" +
+           aParameters + "}}";
+  }
+
+  // Guards against calls to the store for a kind that nobody uses, and against a daemon
+  // that does not start because of an odd number.
+  void EvacuationsAreHandledOnlyIfTheSettingsSaySo()
+  {
+    CPPUNIT_ASSERT(!ReadSettings(SettingsWith(""))->mEvacuateWithin);
+    CPPUNIT_ASSERT(!ReadSettings(SettingsWith(R"(,"evacuateMs":-1)"))->mEvacuateWithin);
+    CPPUNIT_ASSERT(
+      !ReadSettings(SettingsWith(R"(,"evacuateMs":"5")"))->mEvacuateWithin);
+    auto settings = ReadSettings(SettingsWith(R"(,"evacuateMs":5000)"));
+    CPPUNIT_ASSERT(settings->mEvacuateWithin == Duration(seconds(5)));
+  }
+
+  // Guards against an object of another kind of content that takes a zone out of use.
+  void RejectsMalformedEvacuations()
+  {
+    CPPUNIT_ASSERT_EQUAL(std::string("andina-bog"),
+                         *DecodeEvacuation("andina-bog", "{}"));
+    for (const char* it : { "", "a b", "a/b", "a\n" }) {
+      CPPUNIT_ASSERT_MESSAGE(it, !DecodeEvacuation(it, "{}"));
+    }
+    for (const char* it : { "", "[]", "{", "7", "null" }) {
+      CPPUNIT_ASSERT_MESSAGE(it, !DecodeEvacuation("z", it));
+    }
+  }
+
   void ReportsAllErrorsInSettings()
   {
     auto settings = ReadSettings(R"({"nodeName":"f1","listen":{"front":"nowhere"}})");
--- a/test/proxy/FakeDatabases.h
+++ b/test/proxy/FakeDatabases.h
@@ -60,8 +60,8 @@
 class FleetWorld
 {
 public:
-  FleetWorld()
-    : mFleet(mLoop, mDatabases, Settings(), ReadStatusRow)
+  explicit FleetWorld(const proxy::Settings& aSettings = {})
+    : mFleet(mLoop, mDatabases, aSettings, ReadStatusRow)
   {
     // DatabaseFleet reads the real clock, so the sessions start at the same time.
     mEnvironment.mNow = Clock::now();
@@ -81,6 +81,12 @@
   {
     mFleet.OnListed({ aName, "g", "z", aAddress, 3, false, DatabaseRole::Unknown, 0 });
   }
+  // Moves a database, with the next version of its entry, to another zone.
+  void Move(const std::string& aName, const std::string& aZone)
+  {
+    mFleet.OnListed(
+      { aName, "g", aZone, "10.0.0.1:1", 3, false, DatabaseRole::Unknown, 0 });
+  }
   void Record(GroupPhase aPhase,
               std::uint64_t aChange,
               std::uint64_t aTerm,
@@ -159,9 +165,6 @@
   std::shared_ptr<bool> mHasStoodDown;
   std::uint64_t mRevision = 0;
   int mRequests = 0;
-
-private:
-  using Settings = proxy::Settings;
 };
 
 } // namespace sesameway::test
--- a/test/proxy/ProxyDaemon.h
+++ b/test/proxy/ProxyDaemon.h
@@ -170,7 +170,8 @@
   ProxyDaemon(const std::string& aName,
               const std::string& aAddress,
               std::vector<std::string> aSeeds,
-              bool aIsCutOff)
+              bool aIsCutOff,
+              const std::string& aEvacuationKind = {})
     : mStore(std::make_shared<FakeStore>(mLoop, aIsCutOff))
   {
     Settings settings;
@@ -196,6 +197,10 @@
     adapters.mReadDatabase = [](const StoredObject&) {
       return tl::expected<ListedDatabase, std::string>(tl::make_unexpected("none"));
     };
+    adapters.mEvacuationKind = aEvacuationKind;
+    adapters.mReadEvacuation = [](const StoredObject& aObject) {
+      return tl::expected<std::string, std::string>(IdOf(aObject.mName));
+    };
     adapters.mReadStatus = [](const std::string&) { return std::nullopt; };
     mProxy = std::make_unique<Proxy>(mLoop, settings, adapters, 1);
     mPeers = peer::CapnpPeers::Start(aAddress, mProxy.get());
@@ -247,20 +252,23 @@
     }
     return false;
   }
+  // Number of zones whose evacuation is in force.
+  double EvacuatedZones() { return Gauge("zones.evacuated"); }
   // Age of this daemon's information about the store, in seconds.
-  double ContactAge()
+  double ContactAge() { return Gauge("store.contact_age_s"); }
+
+private:
+  double Gauge(const std::string& aName)
   {
-    return OnLoop<double>([this] {
+    return OnLoop<double>([&] {
       for (const auto& it : mProxy->Gauges()) {
-        if (it.mName == "store.contact_age_s") {
+        if (it.mName == aName) {
           return it.mValue;
         }
       }
       return -1.0;
     });
   }
-
-private:
   template<typename Value>
   Value OnLoop(std::function<Value()> aFunction)
   {
--- a/test/proxy/StoreRestoreTest.cpp
+++ b/test/proxy/StoreRestoreTest.cpp
@@ -12,6 +12,8 @@
   CPPUNIT_TEST(AnOlderConfigurationIsNotTaken);
   CPPUNIT_TEST(TheRecordOfAGroupThatTheStoreLostIsWrittenBack);
   CPPUNIT_TEST(TheLeaseThatTheStoreLostIsWrittenAnew);
+  CPPUNIT_TEST(AnEvacuationThatTheStoreLostIsWrittenBack);
+  CPPUNIT_TEST(EvacuationsAreNotFollowedWithoutTheirKind);
   CPPUNIT_TEST_SUITE_END();
 
   static platform::Object Configuration(std::uint64_t aVersion, std::uint64_t aRevision)
@@ -85,6 +87,45 @@
                          daemon->Put("sesameway/coordinator").mExpected);
     daemon->Stop();
   }
+
+  static platform::Object Evacuation(std::uint64_t aRevision)
+  {
+    return { "evacuations/z", aRevision, aRevision, "{}", false };
+  }
+
+  // Guards against statements that go back to an evacuated zone because the store lost
+  // the request, and against daemons that start later and never learn of it.
+  void AnEvacuationThatTheStoreLostIsWrittenBack()
+  {
+    auto* daemon = new ProxyDaemon("a", FreeAddress(), {}, false, "evacuations");
+    daemon->Write(Configuration(7, 5));
+    daemon->Write(Evacuation(9));
+    daemon->Run();
+    CPPUNIT_ASSERT(IsSoon([&] { return daemon->EvacuatedZones() == 1; }));
+    daemon->Restore({ Configuration(7, MakeRevision(1, 5)) });
+    CPPUNIT_ASSERT(IsSoon([&] { return daemon->Put("evacuations/z").mBody == "{}"; }));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 0 }, daemon->Put("evacuations/z").mExpected);
+    CPPUNIT_ASSERT_EQUAL(1.0, daemon->EvacuatedZones());
+    daemon->Write(Evacuation(MakeRevision(1, 10)));
+    auto removal = Evacuation(MakeRevision(1, 11));
+    removal.mDeleted = true;
+    daemon->Write(removal);
+    CPPUNIT_ASSERT(IsSoon([&] { return daemon->EvacuatedZones() == 0; }));
+    daemon->Stop();
+  }
+
+  // Guards against calls to the store for a kind that the settings don't ask for.
+  void EvacuationsAreNotFollowedWithoutTheirKind()
+  {
+    auto* daemon = new ProxyDaemon("a", FreeAddress(), {}, false);
+    daemon->Write(Evacuation(4));
+    daemon->Write(Configuration(7, 5));
+    daemon->Run();
+    CPPUNIT_ASSERT(IsSoon([&] { return daemon->VersionInForce() == 7; }));
+    std::this_thread::sleep_for(milliseconds(400));
+    CPPUNIT_ASSERT_EQUAL(0.0, daemon->EvacuatedZones());
+    daemon->Stop();
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreRestoreTest);
