Allowed regions of routes and organisations

Why: the text of a statement must not reach a database or another daemon outside the regions that its route and its organisation allow.

Weighed: a list that can't be read could allow all regions or none; it allows none, with a log line, because a text can't be taken back from a region that it has reached. A zone that the settings don't know has no region and is allowed only where all are.

Changed: AllowedRegions (core); the decoder reads allowedRegions if the zone rules are on and reports what it can't use; LeaseRequest carries the regions that both allow; the placement skips other databases, and refuses at once if none is left or only a primary elsewhere could run the statement.

--- a/include/sesameway/Catalogue.h
+++ b/include/sesameway/Catalogue.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "sesameway/AllowedRegions.h"
+
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -17,6 +19,8 @@
   double mBurst = 0;
   // Weight when organisations compete for scarce connections.
   std::uint32_t mWeight = 1;
+  // Regions that may receive its statements.
+  AllowedRegions mAllowedRegions{};
 };
 
 struct DatabaseEntry
@@ -71,6 +75,8 @@
   std::uint32_t mPriority = 0;
   // Latency target of an operation in microseconds; 0 means that the route sets none.
   std::uint64_t mGoalUs = 0;
+  // Regions that may receive its statements.
+  AllowedRegions mAllowedRegions{};
 };
 
 // Snapshot of all entries in force; immutable once published.
--- a/src/proxy/Backend.h
+++ b/src/proxy/Backend.h
@@ -47,6 +47,9 @@
   std::set<std::string> mAvoid;
   // Databases whose logs had not reached the required position.
   std::set<std::string> mLaggingDatabases;
+  // Regions in which databases, and daemons other than this one, may receive the
+  // statement.
+  AllowedRegions mAllowedRegions;
 };
 
 // Why no connection was granted, and when to retry. Nothing has been sent to a
--- a/src/proxy/CallerSend.cpp
+++ b/src/proxy/CallerSend.cpp
@@ -35,6 +35,11 @@
   }
   request.mAvoid = attempt.mAvoid;
   request.mLaggingDatabases = attempt.mLaggingDatabases;
+  const auto* organisation = mCatalogue->FindOrganisation(mOrganisation);
+  request.mAllowedRegions =
+    organisation == nullptr
+      ? mRoute->mAllowedRegions
+      : mRoute->mAllowedRegions.And(organisation->mAllowedRegions);
   // The callback may run before Acquire returns; the ticket that Acquire then returns
   // is no longer valid.
   auto isOver = std::make_shared<bool>(false);
--- a/src/proxy/FleetZones.cpp
+++ b/src/proxy/FleetZones.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr const char* kEvacuatedReason = "zone_evacuated";
+constexpr const char* kRegionReason = "region_not_allowed";
 
 } // namespace
 
@@ -64,17 +65,23 @@
   return listed != nullptr && ReasonToExclude(aPending.mRequest, *listed) != nullptr;
 }
 
-const char* DatabaseFleet::ReasonToExclude(const LeaseRequest&,
+const char* DatabaseFleet::ReasonToExclude(const LeaseRequest& aRequest,
                                            const ListedDatabase& aDatabase) const
 {
-  return mEvacuations.Contains(aDatabase.mZone) ? kEvacuatedReason : nullptr;
+  if (mEvacuations.Contains(aDatabase.mZone)) {
+    return kEvacuatedReason;
+  }
+  auto region = mRegions.find(aDatabase.mZone);
+  std::string_view name =
+    region == mRegions.end() ? std::string_view() : region->second;
+  return aRequest.mAllowedRegions.Allows(name) ? nullptr : kRegionReason;
 }
 
 // While a change of primary is in progress, a request that needs the primary waits for
 // the new one, unless no database of the group may take it.
 const char* DatabaseFleet::ReasonToRefuse(const LeaseRequest& aRequest) const
 {
-  if (mEvacuations.IsEmpty()) {
+  if (mEvacuations.IsEmpty() && aRequest.mAllowedRegions.AllowsAll()) {
     return nullptr;
   }
   const char* reason = nullptr;
--- a/test/platform/ObjectStoreTest.cpp
+++ b/test/platform/ObjectStoreTest.cpp
@@ -391,6 +391,7 @@
   CPPUNIT_TEST(ReportsAllErrorsInSettings);
   CPPUNIT_TEST(EvacuationsAreHandledOnlyIfTheSettingsSaySo);
   CPPUNIT_TEST(RejectsMalformedEvacuations);
+  CPPUNIT_TEST(ReadsAllowedRegions);
   CPPUNIT_TEST_SUITE_END();
 
   void ReadsAConfiguration()
@@ -488,6 +489,32 @@
     }
   }
 
+  // Guards against a restriction that is lost in reading, and against one odd value
+  // that takes the rest of the configuration out of force.
+  void ReadsAllowedRegions()
+  {
+    const char* body =
+      R"({"version":1,"routes":[{"host":"a","allowedRegions":["r1","r2"]},
+          {"host":"b","allowedRegions":[]},{"host":"c","allowedRegions":7},
+          {"host":"d","allowedRegions":[7,"r2"]}],
+          "tenants":[{"name":"acme","allowedRegions":["r2"]}]})";
+    InputIssues issues;
+    auto read = DecodeConfiguration(body, 1, ZoneRules::On, &issues);
+    auto of = [&](const char* aRoute) {
+      return read->FindRoute(aRoute)->mAllowedRegions;
+    };
+    CPPUNIT_ASSERT(of("a") == AllowedRegions({ "r1", "r2" }));
+    CPPUNIT_ASSERT(of("b").AllowsAll());
+    CPPUNIT_ASSERT(!of("c").AllowsAll() && !of("c").Allows("r1"));
+    CPPUNIT_ASSERT(of("d") == AllowedRegions({ "r2" }));
+    CPPUNIT_ASSERT(read->FindOrganisation("acme")->mAllowedRegions ==
+                   AllowedRegions({ "r2" }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, issues.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("routes.c.allowedRegions"), issues.front().mKey);
+    auto off = DecodeConfiguration(body, 1);
+    CPPUNIT_ASSERT(off->FindRoute("a")->mAllowedRegions.AllowsAll());
+  }
+
   void ReportsAllErrorsInSettings()
   {
     auto settings = ReadSettings(R"({"nodeName":"f1","listen":{"front":"nowhere"}})");
--- a/test/proxy/FleetZonesTest.cpp
+++ b/test/proxy/FleetZonesTest.cpp
@@ -17,6 +17,8 @@
   CPPUNIT_TEST(AWriteWaitsForTheNewPrimary);
   CPPUNIT_TEST(AGroupWithoutADatabaseOutsideIsRefused);
   CPPUNIT_TEST(AnOpenTransactionIsEnded);
+  CPPUNIT_TEST(ReadsStayInTheAllowedRegions);
+  CPPUNIT_TEST(NothingLeavesTheAllowedRegions);
   CPPUNIT_TEST(AStatementInProgressFinishesBeforeItsTransactionEnds);
   CPPUNIT_TEST_SUITE_END();
 
@@ -137,6 +139,45 @@
     CPPUNIT_ASSERT_EQUAL(Code("busy"), mWorld->LastCode());
   }
 
+  // Sets the regions that the routes and the organisation allow.
+  void Allow(AllowedRegions aRoutes, const AllowedRegions& aOrganisation)
+  {
+    auto catalogue = std::make_shared<Catalogue>(*mWorld->mEnvironment.mCatalogue);
+    for (auto& it : catalogue->mRoutes) {
+      it.second.mAllowedRegions = aRoutes;
+    }
+    catalogue->mOrganisations["acme"].mAllowedRegions = aOrganisation;
+    mWorld->mEnvironment.mCatalogue = catalogue;
+  }
+
+  // Guards against a statement's text that reaches a region which the organisation does
+  // not allow, although the route does.
+  void ReadsStayInTheAllowedRegions()
+  {
+    NoteHead();
+    mWorld->Move("third", "old");
+    Allow(AllowedRegions({ "r1", "r2" }), AllowedRegions({ "r1" }));
+    for (int n = 0; n < 5; ++n) {
+      Ask("aged", RequestKind::Read);
+    }
+    CPPUNIT_ASSERT(!mWorld->mDatabases.IsOpening("new"));
+    CPPUNIT_ASSERT(mWorld->mDatabases.IsOpening("third"));
+  }
+
+  // Guards against a statement that waits, or goes elsewhere, because no database is in
+  // an allowed region, or only the primary of another region could run it.
+  void NothingLeavesTheAllowedRegions()
+  {
+    NoteHead();
+    Allow(AllowedRegions({ "r1" }), AllowedRegions({ "r2" }));
+    Ask("aged", RequestKind::Read);
+    CPPUNIT_ASSERT_EQUAL(Code("busy"), mWorld->LastCode());
+    Allow(AllowedRegions({ "r2" }), AllowedRegions());
+    Ask("strict", RequestKind::Write);
+    CPPUNIT_ASSERT_EQUAL(Code("busy"), mWorld->LastCode());
+    CPPUNIT_ASSERT(mWorld->mDatabases.mOpenings.empty());
+  }
+
   // Guards against a transaction that keeps an evacuated database in use, and against
   // one that is ended before its time.
   void AnOpenTransactionIsEnded()
