Bound the statements at a cold database

Why: a database is slow for some time after its start. Statements above its rate make it slow for longer, and the bound holds for any second, summed over all daemons.

Weighed: a share for every daemon keeps the average but not the bound: with 78 daemons, one statement of each in the same second exceeds 20 x 1.5 + 5. So only as many daemons start statements as half of the margin above the rate allows, chosen by a hash of database and daemon; the other half is left for lists that differ and for restarts. A daemon that has just started, or that is not in its own list, starts nothing there.

Changed: ColdAllowance (core); the decoder reads coldMs and coldPerS; reads avoid a cold database while others serve; what gets no start is refused at once with the time of the next one; statements of open transactions are sent and postpone the next start. DatabaseFleet::ColdRate is for the queue at the homes. Optional settings that can't be used are logged once, at the start.

--- a/include/sesameway/Catalogue.h
+++ b/include/sesameway/Catalogue.h
@@ -40,6 +40,9 @@
   std::uint32_t mSlots = 3;
   // Maximum number of connections to one database, over the whole fleet.
   std::uint32_t mConnections = 20;
+  // Statements per second, over the whole fleet, that a database of the group may get
+  // while it is cold; 0 means no bound.
+  double mColdPerS = 0;
 };
 
 struct Service
--- a/include/sesameway/DatabaseList.h
+++ b/include/sesameway/DatabaseList.h
@@ -43,6 +43,9 @@
   std::uint64_t mStartedAtMs = 0;
   // Number of entries that the database has written since its start.
   std::uint64_t mSequence = 0;
+  // How much longer the database stays slow after its start, as of the time at which it
+  // wrote the entry.
+  std::uint64_t mColdMs = 0;
   bool operator==(const ListedDatabase&) const = default;
 };
 
--- a/src/proxy/DatabaseFleet.cpp
+++ b/src/proxy/DatabaseFleet.cpp
@@ -26,6 +26,9 @@
   , mReadStatus(std::move(aReadStatus))
   , mZone(aSettings.mZone)
   , mRegions(aSettings.mRegions)
+  , mName(aSettings.mName)
+  , mColdOver(aSettings.mColdOver)
+  , mColdSlack(aSettings.mColdSlack)
 {
 }
 
@@ -60,6 +63,8 @@
                  .With("zone", aDatabase.mZone)
                  .With("leaving", aDatabase.mIsLeaving)
                  .With("role", kDatabaseRoleNames.Name(aDatabase.mRole));
+  mColdAllowances[aDatabase.mName].OnEntry(
+    aDatabase.mStartedAtMs, milliseconds(aDatabase.mColdMs), Clock::now());
   auto& pool = mPools[aDatabase.mName];
   if (pool && isOther) {
     Retire(std::exchange(pool, nullptr));
@@ -96,6 +101,7 @@
     if (mList.Find(it) == nullptr) {
       LOG(INFO) << daemon::LogLine("database_gone").With("database", it);
       Retire(mPools.extract(it).mapped());
+      mColdAllowances.erase(it);
     }
   }
 }
@@ -190,6 +196,7 @@
 {
   if (auto pool = aLease.mPool.lock()) {
     pool->OnSent(Clock::now());
+    NoteColdStatement(aLease.mDatabase, Clock::now());
   }
 }
 
--- a/src/proxy/DatabaseFleet.h
+++ b/src/proxy/DatabaseFleet.h
@@ -4,6 +4,7 @@
 #include "proxy/DatabasePool.h"
 #include "proxy/Loop.h"
 #include "proxy/Settings.h"
+#include "sesameway/ColdAllowance.h"
 #include "sesameway/Evacuations.h"
 #include "sesameway/HeadPollSchedule.h"
 #include "sesameway/Leadership.h"
@@ -36,7 +37,13 @@
   // Sets the availability zone of each daemon, including this one. Each database's
   // connection limit is divided among them.
   void SetDaemonZones(const std::vector<std::string>& aZones);
+  // Sets the names of all daemons, including this one. They share the rate at which
+  // statements are started at a cold database.
+  void SetDaemonNames(std::vector<std::string> aNames);
   void OnListed(const ListedDatabase& aDatabase);
+  // Statements per second that the whole fleet may send to the database while it is
+  // cold; none if there is no such bound.
+  std::optional<double> ColdRate(const ListedDatabase& aDatabase, TimePoint aNow) const;
   void OnRemoved(const std::string& aName);
   void OnRecord(const GroupRecord& aRecord, std::uint64_t aRevision);
   // The store no longer has the group's record.
@@ -184,6 +191,13 @@
   // Why the request may not use the database; null if it may.
   const char* ReasonToExclude(const LeaseRequest& aRequest,
                               const ListedDatabase& aDatabase) const;
+  // This daemon's part of the rate.
+  double ColdShare(const ListedDatabase& aDatabase, double aRate) const;
+  // Takes a start at the database if it is cold. Returns the time to try again if there
+  // is none.
+  std::optional<TimePoint> TakeColdStart(const ListedDatabase& aDatabase,
+                                         TimePoint aNow);
+  void NoteColdStatement(const std::string& aDatabase, TimePoint aNow);
   // Why no database can serve the request, so that waiting is in vain; null if one may.
   const char* ReasonToRefuse(const LeaseRequest& aRequest) const;
   // Withdraws the requests that wait for a former primary, for a replica that is being
@@ -230,6 +244,11 @@
   std::size_t mDaemons = 1;
   DatabaseList mList;
   Evacuations mEvacuations;
+  std::string mName;
+  std::vector<std::string> mDaemonNames;
+  double mColdOver;
+  double mColdSlack;
+  std::map<std::string, ColdAllowance> mColdAllowances;
   std::map<std::string, PoolPtr> mPools;
   // Pools of removed or replaced databases, kept while their connections are in use.
   std::vector<PoolPtr> mRetired;
--- a/src/proxy/FleetPlacement.cpp
+++ b/src/proxy/FleetPlacement.cpp
@@ -102,7 +102,7 @@
     candidate.mPosition = pool->Position(now);
     candidate.mIsTooOld = request.mLaggingDatabases.count(it->mName) > 0;
     candidate.mShouldAvoid =
-      request.mAvoid.count(it->mName) > 0 || pool->IsEjected(now);
+      request.mAvoid.count(it->mName) > 0 || pool->IsEjected(now) || ColdRate(*it, now);
     candidates.push_back(std::move(candidate));
   }
   auto choice = ChooseForFreshRead(candidates, after);
@@ -120,6 +120,10 @@
 {
   auto& pending = mPending.at(aTicket);
   auto now = Clock::now();
+  if (auto retryAt = TakeColdStart(aPool->Listed(), now)) {
+    Refuse(aTicket, "database_cold", *retryAt);
+    return;
+  }
   auto wait = aPool->ExpectedWait(pending.mRequest.mOrganisation);
   if (now + wait > pending.mRequest.mDeadline) {
     Refuse(aTicket, "overloaded", now + wait);
--- a/src/proxy/FleetZones.cpp
+++ b/src/proxy/FleetZones.cpp
@@ -77,6 +77,50 @@
   return aRequest.mAllowedRegions.Allows(name) ? nullptr : kRegionReason;
 }
 
+void DatabaseFleet::SetDaemonNames(std::vector<std::string> aNames)
+{
+  mDaemonNames = std::move(aNames);
+}
+
+std::optional<double> DatabaseFleet::ColdRate(const ListedDatabase& aDatabase,
+                                              TimePoint aNow) const
+{
+  auto allowance = mColdAllowances.find(aDatabase.mName);
+  if (allowance == mColdAllowances.end() || !allowance->second.IsCold(aNow)) {
+    return std::nullopt;
+  }
+  const auto* group = mCatalogue ? mCatalogue->FindGroup(aDatabase.mGroup) : nullptr;
+  bool isBound = group != nullptr && group->mColdPerS > 0;
+  return isBound ? std::optional(group->mColdPerS) : std::nullopt;
+}
+
+// A daemon that is not among the known ones, because it has just started, gets nothing.
+double DatabaseFleet::ColdShare(const ListedDatabase& aDatabase, double aRate) const
+{
+  auto rank = ColdRank(aDatabase.mName, mName, mDaemonNames);
+  auto starters = ColdStarters(aRate, mColdOver, mColdSlack, mDaemonNames.size());
+  bool isStarter = rank && *rank < starters;
+  return isStarter ? aRate / static_cast<double>(starters) : 0;
+}
+
+std::optional<TimePoint> DatabaseFleet::TakeColdStart(const ListedDatabase& aDatabase,
+                                                      TimePoint aNow)
+{
+  auto rate = ColdRate(aDatabase, aNow);
+  return rate ? mColdAllowances[aDatabase.mName].TakeStart(ColdShare(aDatabase, *rate),
+                                                           aNow)
+              : std::nullopt;
+}
+
+void DatabaseFleet::NoteColdStatement(const std::string& aDatabase, TimePoint aNow)
+{
+  const auto* listed = mList.Find(aDatabase);
+  auto rate = listed != nullptr ? ColdRate(*listed, aNow) : std::nullopt;
+  if (rate) {
+    mColdAllowances[aDatabase].OnSent(ColdShare(*listed, *rate), aNow);
+  }
+}
+
 // While a change of primary is in progress, a request that needs the primary waits for
 // the new one, unless no database of the group may take it.
 const char* DatabaseFleet::ReasonToRefuse(const LeaseRequest& aRequest) const
--- a/src/proxy/ProxyStore.cpp
+++ b/src/proxy/ProxyStore.cpp
@@ -195,9 +195,11 @@
   auto members = Records();
   std::erase_if(members, [](const auto& aIt) { return aIt.mIsMissing; });
   std::vector<std::string> zones;
+  std::vector<std::string> names;
   std::vector<NearDaemon> near;
   for (const auto& it : members) {
     zones.push_back(it.mZone);
+    names.push_back(it.mName);
     if (IsOwnRegion(it.mZone)) {
       near.push_back({ it.mName, it.mZone });
     }
@@ -208,6 +210,7 @@
                  .With("near", near.size())
                  .With("revision", mSync.OwnRevision());
   mFleet.SetDaemonZones(zones);
+  mFleet.SetDaemonNames(std::move(names));
   mWatchers.SetDaemons(std::move(near));
   mLinkedPeers.SetPeers(members, [this](const std::string& aZone) {
     return aZone == mSelf.mZone ? 0 : IsOwnRegion(aZone) ? 1 : 2;
--- a/src/proxy/Settings.h
+++ b/src/proxy/Settings.h
@@ -31,6 +31,12 @@
   // The time within which an evacuation must be in force on every daemon. Evacuations,
   // allowed regions and cold databases are handled only if it is set.
   std::optional<Duration> mEvacuateWithin;
+  // A cold database must get at most its rate times mColdOver plus mColdSlack
+  // statements in any second.
+  double mColdOver = 1.5;
+  double mColdSlack = 5;
+  // Keys of optional values that can't be used; their defaults are in force.
+  std::vector<std::string> mIgnoredKeys;
 };
 
 } // namespace sesameway::proxy
--- a/test/platform/ObjectStoreTest.cpp
+++ b/test/platform/ObjectStoreTest.cpp
@@ -392,6 +392,7 @@
   CPPUNIT_TEST(EvacuationsAreHandledOnlyIfTheSettingsSaySo);
   CPPUNIT_TEST(RejectsMalformedEvacuations);
   CPPUNIT_TEST(ReadsAllowedRegions);
+  CPPUNIT_TEST(ReadsColdTimesAndRates);
   CPPUNIT_TEST_SUITE_END();
 
   void ReadsAConfiguration()
@@ -474,6 +475,10 @@
       !ReadSettings(SettingsWith(R"(,"evacuateMs":"5")"))->mEvacuateWithin);
     auto settings = ReadSettings(SettingsWith(R"(,"evacuateMs":5000)"));
     CPPUNIT_ASSERT(settings->mEvacuateWithin == Duration(seconds(5)));
+    auto odd = ReadSettings(SettingsWith(R"(,"coldOver":-1,"coldSlack":7)"));
+    CPPUNIT_ASSERT_EQUAL(1.5, odd->mColdOver);
+    CPPUNIT_ASSERT_EQUAL(7.0, odd->mColdSlack);
+    CPPUNIT_ASSERT_EQUAL(std::string("parameters.coldOver"), odd->mIgnoredKeys.at(0));
   }
 
   // Guards against an object of another kind of content that takes a zone out of use.
@@ -515,6 +520,36 @@
     CPPUNIT_ASSERT(off->FindRoute("a")->mAllowedRegions.AllowsAll());
   }
 
+  // Guards against a negative time or rate that becomes a huge one, and against an odd
+  // number that takes a database out of use.
+  void ReadsColdTimesAndRates()
+  {
+    auto read = [](const std::string& aCold, InputIssues& aIssues) {
+      return DecodeDatabase("i-1",
+                            R"({"service":"s","addr":"x:1","state":"ready")" + aCold +
+                              "}",
+                            ZoneRules::On,
+                            &aIssues)
+        ->mColdMs;
+    };
+    InputIssues issues;
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 4000 }, read(R"(,"coldMs":4000)", issues));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 0 }, read("", issues));
+    CPPUNIT_ASSERT(issues.empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 0 }, read(R"(,"coldMs":-4)", issues));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 0 }, read(R"(,"coldMs":"4")", issues));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, issues.size());
+    CPPUNIT_ASSERT(read(R"(,"coldMs":1e300)", issues) > 0);
+    auto catalogue = DecodeConfiguration(
+      R"({"version":1,"services":[{"name":"a","coldPerS":20},{"name":"b","coldPerS":-1}]})",
+      1,
+      ZoneRules::On,
+      &issues);
+    CPPUNIT_ASSERT_EQUAL(20.0, catalogue->FindGroup("a")->mColdPerS);
+    CPPUNIT_ASSERT_EQUAL(0.0, catalogue->FindGroup("b")->mColdPerS);
+    CPPUNIT_ASSERT_EQUAL(std::string("services.b.coldPerS"), issues.back().mKey);
+  }
+
   void ReportsAllErrorsInSettings()
   {
     auto settings = ReadSettings(R"({"nodeName":"f1","listen":{"front":"nowhere"}})");
--- a/test/proxy/FleetZonesTest.cpp
+++ b/test/proxy/FleetZonesTest.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(AnOpenTransactionIsEnded);
   CPPUNIT_TEST(ReadsStayInTheAllowedRegions);
   CPPUNIT_TEST(NothingLeavesTheAllowedRegions);
+  CPPUNIT_TEST(AColdDatabaseGetsItsRate);
   CPPUNIT_TEST(AStatementInProgressFinishesBeforeItsTransactionEnds);
   CPPUNIT_TEST_SUITE_END();
 
@@ -26,6 +27,7 @@
   void setUp() override
   {
     Settings settings;
+    settings.mName = "d";
     settings.mEvacuateWithin = seconds(5);
     settings.mRegions = { { "old", "r1" }, { "new", "r2" }, { "third", "r2" } };
     mWorld = std::make_unique<FleetWorld>(settings);
@@ -211,6 +213,35 @@
     CPPUNIT_ASSERT(link->mSent.back().mKind == CommandKind::Rollback);
   }
 
+  // Guards against reads at a cold database while another one serves, against writes
+  // above the rate of a cold primary that wait instead of being refused, and against a
+  // daemon that takes a share before it is known to the others. Answers two writes at
+  // once at a rate of four per second.
+  void AColdDatabaseGetsItsRate()
+  {
+    auto catalogue = std::make_shared<Catalogue>(*mWorld->mEnvironment.mCatalogue);
+    catalogue->mServices["s"].mGroups.front().mColdPerS = 4;
+    mWorld->mFleet.SetCatalogue(catalogue);
+    for (const char* it : { "new", "old" }) {
+      ListedDatabase cold{ it, "g", it, "10.0.0.1:1", 3 };
+      cold.mColdMs = 60'000;
+      mWorld->mFleet.OnListed(cold);
+    }
+    NoteHead();
+    Ask("aged", RequestKind::Read);
+    CPPUNIT_ASSERT(!mWorld->mDatabases.IsOpening("new"));
+    mWorld->RunFor(milliseconds(300));
+    mWorld->mFleet.SetContact(Clock::now());
+    Ask("strict", RequestKind::Write);
+    CPPUNIT_ASSERT_EQUAL(Code("busy"), mWorld->LastCode());
+    mWorld->mFleet.SetDaemonNames({ "d" });
+    Ask("strict", RequestKind::Write);
+    CPPUNIT_ASSERT_EQUAL(Code("none"), mWorld->LastCode());
+    auto other = mWorld->Connect("strict");
+    mWorld->Ask(*other, RequestKind::Write, "WRITE a b");
+    CPPUNIT_ASSERT_EQUAL(Code("busy"), mWorld->LastCode());
+  }
+
   std::unique_ptr<FleetWorld> mWorld;
   std::shared_ptr<CallerRun> mSession;
   std::uint64_t mRevision = 0;
