--- a/src/proxy/Backend.h
+++ b/src/proxy/Backend.h
@@ -49,6 +49,9 @@
   std::set<std::string> mAvoid;
   // Databases whose logs had not reached the required position.
   std::set<std::string> mLaggingDatabases;
+  // Regions in which databases, and daemons other than this one, may receive the
+  // statement.
+  AllowedRegions mAllowedRegions;
 };
 
 // Why no connection was granted, and when to retry. Nothing has been sent to a
@@ -76,6 +79,9 @@
   // Whether statements may be sent on the lease. A lease on a primary ends when a later
   // change of primary begins, even if the same database becomes the primary again.
   virtual bool IsInForce(const ConnectionLease& aLease) const = 0;
+  // Whether a transaction on the lease must end because its database is no longer to be
+  // used. A statement in progress may finish.
+  virtual bool MustEndTransaction(const ConnectionLease&) const { return false; }
   // Whether replies on the lease may be trusted at present without Confirm.
   virtual bool AreRepliesTrusted(const ConnectionLease& aLease) const = 0;
   // Asks the other databases of a primary's group, no earlier than `aSince`, whether
--- a/src/proxy/CallerSend.cpp
+++ b/src/proxy/CallerSend.cpp
@@ -13,6 +13,7 @@
 // whether its database is unresponsive. Slow replies of a busy group take about this
 // long.
 constexpr Duration kNoResponseTimeout = milliseconds(500);
+constexpr const char* kEvacuated = "zone_evacuated";
 
 } // namespace
 
@@ -35,6 +36,11 @@
   }
   request.mAvoid = attempt.mAvoid;
   request.mLaggingDatabases = attempt.mLaggingDatabases;
+  const auto* organisation = mCatalogue->FindOrganisation(mOrganisation);
+  request.mAllowedRegions =
+    organisation == nullptr
+      ? mRoute->mAllowedRegions
+      : mRoute->mAllowedRegions.And(organisation->mAllowedRegions);
   // The callback may run before Acquire returns; the ticket that Acquire then returns
   // is no longer valid.
   auto isOver = std::make_shared<bool>(false);
@@ -128,6 +134,10 @@
     OnPrimaryReplaced();
     return;
   }
+  if (mTransaction == TransactionState::Open && mBackend.MustEndTransaction(*mLease)) {
+    Fail(ReplyCode::Aborted, kEvacuated);
+    return;
+  }
   auto& attempt = *mAttempt;
   attempt.mSentAt = mEnvironment.Now();
   attempt.mDatabase = mLease->mDatabase;
@@ -269,6 +279,13 @@
   });
 }
 
+void CallerRun::EndTransactionIfEvacuated()
+{
+  if (mLease && mBackend.MustEndTransaction(*mLease)) {
+    EndTransaction(kEvacuated);
+  }
+}
+
 void CallerRun::ReleaseLease(bool aIsBroken)
 {
   if (!mLease) {
--- a/src/proxy/DatabaseFleet.cpp
+++ b/src/proxy/DatabaseFleet.cpp
@@ -38,6 +38,8 @@
   , mName(aSettings.mName)
   , mZone(aSettings.mZone)
   , mRegions(aSettings.mRegions)
+  , mColdOver(aSettings.mColdOver)
+  , mColdSlack(aSettings.mColdSlack)
 {
 }
 
@@ -76,6 +78,8 @@
                  .With("zone", aDatabase.mZone)
                  .With("leaving", aDatabase.mIsLeaving)
                  .With("role", kDatabaseRoleNames.Name(aDatabase.mRole));
+  mColdAllowances[aDatabase.mName].OnEntry(
+    aDatabase.mStartedAtMs, milliseconds(aDatabase.mColdMs), Clock::now());
   if (isOther) {
     RemovePools(aDatabase.mName);
   }
@@ -109,6 +113,7 @@
       RemovePools(it);
       mBorrower.Forget(it);
       mHomeRoles.erase(it);
+      mColdAllowances.erase(it);
     }
   }
 }
@@ -125,6 +130,7 @@
   RemoveMissing(now);
   std::erase_if(mRetired, [](const auto& aIt) { return aIt->Leases().empty(); });
   CheckPrimaries(now);
+  ApplyColdRates(now);
   mLender.TakeBackIdle(kLentIdleLimit);
   for (auto& it : mGroups) {
     AskForHead(it.first, it.second, now);
@@ -213,6 +219,7 @@
 {
   if (auto pool = aLease.mPool.lock()) {
     pool->OnSent(Clock::now());
+    NoteColdStatement(aLease.mDatabase, Clock::now());
   }
 }
 
--- a/src/proxy/DatabaseFleet.h
+++ b/src/proxy/DatabaseFleet.h
@@ -6,6 +6,8 @@
 #include "proxy/LinkLender.h"
 #include "proxy/Loop.h"
 #include "proxy/Settings.h"
+#include "sesameway/ColdAllowance.h"
+#include "sesameway/Evacuations.h"
 #include "sesameway/HeadPollSchedule.h"
 #include "sesameway/HomeRanking.h"
 #include "sesameway/Leadership.h"
@@ -23,9 +25,10 @@
 
 // All databases as this daemon sees them: which of them it may use and for what, and
 // its connection pools. Used on the event loop's thread only. FleetPlacement.cpp
-// decides which request gets a connection to which database, FleetPrimary.cpp handles
-// changes of primary, FleetHeads.cpp tracks the log positions of primaries, and
-// FleetHomes.cpp has the connections to databases that are used through their homes.
+// decides which request gets a connection to which database, FleetZones.cpp which
+// databases may get it at all, FleetPrimary.cpp handles changes of primary,
+// FleetHeads.cpp tracks the log positions of primaries, and FleetHomes.cpp has the
+// connections to databases that are used through their homes.
 class DatabaseFleet : public Backend
 {
 public:
@@ -59,11 +62,23 @@
     std::size_t mRunning = 0;
   };
   HomeLoad Load() const;
+  // Sets the names of all daemons, including this one. They share the rate at which
+  // statements are started at a cold database.
+  void SetDaemonNames(std::vector<std::string> aNames);
   void OnListed(const ListedDatabase& aDatabase);
+  // Statements per second that the whole fleet may send to the database while it is
+  // cold; none if there is no such bound.
+  std::optional<double> ColdRate(const ListedDatabase& aDatabase, TimePoint aNow) const;
   void OnRemoved(const std::string& aName);
   void OnRecord(const GroupRecord& aRecord, std::uint64_t aRevision);
   // The store no longer has the group's record.
   void OnRecordRemoved(const std::string& aGroup, std::uint64_t aRevision);
+  // The store has, or no longer has, the object that asks for the evacuation of a zone.
+  void OnEvacuation(const std::string& aZone,
+                    const std::string& aBody,
+                    std::uint64_t aRevision);
+  void OnEvacuationRemoved(const std::string& aZone, std::uint64_t aRevision);
+  const Evacuations& CurrentEvacuations() const { return mEvacuations; }
   // Sets the time up to which this daemon has certainly seen all changes of records.
   void SetContact(TimePoint aContact);
   // Whether this daemon queries primaries for their log positions often, on behalf of
@@ -107,6 +122,7 @@
   void CancelAcquire(std::uint64_t aTicket) override;
   void Release(const LeasePtr& aLease, bool aIsBroken) override;
   bool IsInForce(const ConnectionLease& aLease) const override;
+  bool MustEndTransaction(const ConnectionLease& aLease) const override;
   bool AreRepliesTrusted(const ConnectionLease& aLease) const override;
   void Confirm(const ConnectionLease& aLease,
                TimePoint aSince,
@@ -199,8 +215,23 @@
   // Whether the request waits for a connection to a replica that accepts no new work
   // because it is being removed.
   bool IsAtLeavingReplica(const Pending& aPending) const;
-  // Withdraws the requests that wait for a former primary or for a replica that is
-  // being removed. The next tick chooses another database for them.
+  // Whether the request waits for a connection to a database that it may no longer use.
+  bool IsAtExcluded(const Pending& aPending) const;
+  // Why the request may not use the database; null if it may.
+  const char* ReasonToExclude(const LeaseRequest& aRequest,
+                              const ListedDatabase& aDatabase) const;
+  // This daemon's part of the rate.
+  double ColdShare(const ListedDatabase& aDatabase, double aRate) const;
+  // Takes a start at the database if it is cold. Returns the time to try again if there
+  // is none.
+  std::optional<TimePoint> TakeColdStart(const ListedDatabase& aDatabase,
+                                         TimePoint aNow);
+  void NoteColdStatement(const std::string& aDatabase, TimePoint aNow);
+  // Why no database can serve the request, so that waiting is in vain; null if one may.
+  const char* ReasonToRefuse(const LeaseRequest& aRequest) const;
+  // Withdraws the requests that wait for a former primary, for a replica that is being
+  // removed, or for a database that they may no longer use. The next tick chooses
+  // another database for them.
   void WithdrawPlacements(const std::string& aGroup);
   // Returns the leases in use on a primary that is no longer in force.
   std::vector<LeasePtr> LeasesOnReplacedPrimary(const std::string& aGroup) const;
@@ -237,6 +268,8 @@
   // As second home of primaries, asks them for their status, so that a fault of the
   // first home is told from a fault of the database.
   void CheckPrimaries(TimePoint aNow);
+  // Bounds what this daemon starts, as a home, at cold databases.
+  void ApplyColdRates(TimePoint aNow);
   Duration ExpectedWaitAt(const DatabasePool& aPool,
                           const StatementTerms& aTerms,
                           TimePoint aNow) const;
@@ -268,6 +301,11 @@
   std::map<std::string, std::size_t> mDaemonsByZone;
   std::size_t mDaemons = 1;
   DatabaseList mList;
+  Evacuations mEvacuations;
+  std::vector<std::string> mDaemonNames;
+  double mColdOver;
+  double mColdSlack;
+  std::map<std::string, ColdAllowance> mColdAllowances;
   // The pools from which this daemon's sessions get their connections.
   std::map<std::string, PoolPtr> mPools;
   // The pools of databases that this daemon is a home of. At the first home it is the
--- a/src/proxy/DatabasePool.cpp
+++ b/src/proxy/DatabasePool.cpp
@@ -77,7 +77,8 @@
 
 void DatabasePool::SetStartRate(std::optional<double> aPerSecond)
 {
-  if (mQueue) {
+  if (mQueue && aPerSecond != mStartRate) {
+    mStartRate = aPerSecond;
     mQueue->SetStartRate(aPerSecond);
   }
 }
--- a/src/proxy/DatabasePool.h
+++ b/src/proxy/DatabasePool.h
@@ -127,6 +127,7 @@
   ConnectionPlan mPlan;
   // Set at a home only.
   std::shared_ptr<DatabaseQueue> mQueue;
+  std::optional<double> mStartRate;
   Timer mTick;
   bool mIsRetired = false;
   std::map<std::uint64_t, OpenConnection> mConnections;
--- a/src/proxy/FleetHomes.cpp
+++ b/src/proxy/FleetHomes.cpp
@@ -11,6 +11,10 @@
 // Bounds the connections that one daemon borrows to one database at a time; more
 // statements wait here.
 constexpr std::size_t kBorrowedLimit = 64;
+// Parts of a cold database's rate of statements that its homes may start. The second
+// home takes statements only while the first one does not respond.
+constexpr double kFirstColdShare = 0.75;
+constexpr double kSecondColdShare = 0.25;
 constexpr Duration kPrimaryCheckInterval = seconds(1);
 constexpr Duration kPrimaryCheckTimeout = milliseconds(600);
 
@@ -174,6 +178,21 @@
   }
 }
 
+void DatabaseFleet::ApplyColdRates(TimePoint aNow)
+{
+  for (const auto& it : mHomePools) {
+    if (!it.second) {
+      continue;
+    }
+    auto rate = ColdRate(it.second->Listed(), aNow);
+    if (rate) {
+      bool isFirst = mHomeRoles[it.first] == HomeRole::FirstHome;
+      *rate *= isFirst ? kFirstColdShare : kSecondColdShare;
+    }
+    it.second->SetStartRate(rate);
+  }
+}
+
 DatabaseFleet::HomeLoad DatabaseFleet::Load() const
 {
   HomeLoad load;
--- a/src/proxy/FleetPlacement.cpp
+++ b/src/proxy/FleetPlacement.cpp
@@ -13,6 +13,9 @@
 constexpr Duration kSameRegionLatency = milliseconds(1);
 constexpr Duration kOtherRegionLatency = milliseconds(20);
 constexpr Duration kRetryPause = milliseconds(300);
+// Retry time of requests that no database may serve. A change of primary usually takes
+// about this long.
+constexpr Duration kExcludedPause = milliseconds(1000);
 
 } // namespace
 
@@ -48,6 +51,10 @@
 {
   auto& pending = mPending.at(aTicket);
   const auto& request = pending.mRequest;
+  if (const auto* reason = ReasonToRefuse(request)) {
+    Refuse(aTicket, reason, Clock::now() + kExcludedPause);
+    return;
+  }
   if (!request.mNeedsPrimary) {
     PlaceRead(aTicket);
     return;
@@ -88,7 +95,7 @@
     }
     bool isPrimary = it->mName == group.mLeadership.Record().mPrimary;
     if (!pool || IsSuspect(*pool, now) || (isPrimary && !mayUsePrimary) ||
-        (!isPrimary && it->mIsLeaving)) {
+        (!isPrimary && it->mIsLeaving) || ReasonToExclude(request, *it) != nullptr) {
       continue;
     }
     ReadCandidate candidate;
@@ -99,7 +106,7 @@
     candidate.mPosition = pool->Position(now);
     candidate.mIsTooOld = request.mLaggingDatabases.count(it->mName) > 0;
     candidate.mShouldAvoid =
-      request.mAvoid.count(it->mName) > 0 || pool->IsEjected(now);
+      request.mAvoid.count(it->mName) > 0 || pool->IsEjected(now) || ColdRate(*it, now);
     candidates.push_back(std::move(candidate));
   }
   auto choice = ChooseForFreshRead(candidates, after);
@@ -119,6 +126,13 @@
 {
   auto& pending = mPending.at(aTicket);
   auto now = Clock::now();
+  // At homes the queue bounds what starts at a cold database.
+  bool isDirect = aPool->Kind() == PoolKind::Direct;
+  auto coldUntil = isDirect ? TakeColdStart(aPool->Listed(), now) : std::nullopt;
+  if (coldUntil) {
+    Refuse(aTicket, "database_cold", *coldUntil);
+    return;
+  }
   const auto& terms = pending.mRequest.mTerms;
   auto wait = ExpectedWaitAt(*aPool, terms, now);
   if (now + wait > pending.mRequest.mDeadline) {
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -23,6 +23,21 @@
   return static_cast<std::uint32_t>(std::hash<std::string>()(aName) % kRanks);
 }
 
+// Each kind that is followed costs calls to the store, so evacuations are followed only
+// if they are handled.
+std::vector<StoreSync::Kind> FollowedKinds(const Proxy::Adapters& aAdapters)
+{
+  std::vector<StoreSync::Kind> kinds{
+    { kOwnKind, kOwnKindPollTimeout },
+    { std::string(KindOf(aAdapters.mConfigurationObject)), kOtherKindPollTimeout },
+    { aAdapters.mDatabaseKind, kOtherKindPollTimeout },
+  };
+  if (!aAdapters.mEvacuationKind.empty()) {
+    kinds.push_back({ aAdapters.mEvacuationKind, kOtherKindPollTimeout });
+  }
+  return kinds;
+}
+
 class LoopOneShotTimer : public OneShotTimer
 {
 public:
@@ -66,12 +81,7 @@
                                                        mMetrics,
                                                        mAdapters.mStore,
                                                        mSelf))
-  , mSync(
-      aLoop,
-      *mAdapters.mFeed,
-      { { kOwnKind, kOwnKindPollTimeout },
-        { std::string(KindOf(mAdapters.mConfigurationObject)), kOtherKindPollTimeout },
-        { mAdapters.mDatabaseKind, kOtherKindPollTimeout } })
+  , mSync(aLoop, *mAdapters.mFeed, FollowedKinds(mAdapters))
   , mFleet(aLoop,
            *mAdapters.mDatabases,
            mSettings,
@@ -132,6 +142,8 @@
   Register(now);
   FollowStore(now);
   WriteLostRecords(now);
+  WriteLostEvacuations(now);
+  EndEvacuatedTransactions();
   PullFromPeers(now);
   ConnectToOnePeer();
   if (mIsDraining) {
@@ -234,6 +246,18 @@
   }
 }
 
+void Proxy::EndEvacuatedTransactions()
+{
+  if (mFleet.CurrentEvacuations().IsEmpty()) {
+    return;
+  }
+  for (const auto& it : mSessions) {
+    if (auto session = it.lock()) {
+      session->EndTransactionIfEvacuated();
+    }
+  }
+}
+
 bool Proxy::ClosesWithAnswer() const
 {
   return mDrainPlan && mDrainPlan->ClosesWithAnswer(Clock::now());
@@ -249,7 +273,9 @@
            { "homes.count", static_cast<double>(load.mHomes) },
            { "homes.lent_now", static_cast<double>(mFleet.LentCount()) },
            { "queue.waiting", static_cast<double>(load.mWaiting) },
-           { "queue.running", static_cast<double>(load.mRunning) } };
+           { "queue.running", static_cast<double>(load.mRunning) },
+           { "zones.evacuated",
+             static_cast<double>(mFleet.CurrentEvacuations().Zones().size()) } };
 }
 
 } // namespace sesameway::proxy
--- a/test/platform/ObjectStoreTest.cpp
+++ b/test/platform/ObjectStoreTest.cpp
@@ -390,6 +390,10 @@
   CPPUNIT_TEST(ReadsSettings);
   CPPUNIT_TEST(ReadsSpeedFromSettings);
   CPPUNIT_TEST(ReportsAllErrorsInSettings);
+  CPPUNIT_TEST(EvacuationsAreHandledOnlyIfTheSettingsSaySo);
+  CPPUNIT_TEST(RejectsMalformedEvacuations);
+  CPPUNIT_TEST(ReadsAllowedRegions);
+  CPPUNIT_TEST(ReadsColdTimesAndRates);
   CPPUNIT_TEST_SUITE_END();
 
   void ReadsAConfiguration()
@@ -483,6 +487,100 @@
     }
   }
 
+  static std::string SettingsWith(const std::string& aParameters)
+  {
+    return R"({"nodeName":"f1","zone":"z","ip":"10.0.0.1","portRange":[7560,7575],
+               "listen":{"front":"10.0.0.1:1","ready":"10.0.0.1:2"},
+               "platform":{"addr":"10.0.0.9:4"},"cloud":{"addr":"10.0.0.9:5"},
+               "parameters":{"graceS":6)" +
+           aParameters + "}}";
+  }
+
+  // Guards against calls to the store for a kind that nobody uses, and against a daemon
+  // that does not start because of an odd number.
+  void EvacuationsAreHandledOnlyIfTheSettingsSaySo()
+  {
+    CPPUNIT_ASSERT(!ReadSettings(SettingsWith(""))->mEvacuateWithin);
+    CPPUNIT_ASSERT(!ReadSettings(SettingsWith(R"(,"evacuateMs":-1)"))->mEvacuateWithin);
+    CPPUNIT_ASSERT(
+      !ReadSettings(SettingsWith(R"(,"evacuateMs":"5")"))->mEvacuateWithin);
+    auto settings = ReadSettings(SettingsWith(R"(,"evacuateMs":5000)"));
+    CPPUNIT_ASSERT(settings->mEvacuateWithin == Duration(seconds(5)));
+    auto odd = ReadSettings(SettingsWith(R"(,"coldOver":-1,"coldSlack":7)"));
+    CPPUNIT_ASSERT_EQUAL(1.5, odd->mColdOver);
+    CPPUNIT_ASSERT_EQUAL(7.0, odd->mColdSlack);
+    CPPUNIT_ASSERT_EQUAL(std::string("parameters.coldOver"), odd->mIgnoredKeys.at(0));
+  }
+
+  // Guards against an object of another kind of content that takes a zone out of use.
+  void RejectsMalformedEvacuations()
+  {
+    CPPUNIT_ASSERT_EQUAL(std::string("andina-bog"),
+                         *DecodeEvacuation("andina-bog", "{}"));
+    for (const char* it : { "", "a b", "a/b", "a\n" }) {
+      CPPUNIT_ASSERT_MESSAGE(it, !DecodeEvacuation(it, "{}"));
+    }
+    for (const char* it : { "", "[]", "{", "7", "null" }) {
+      CPPUNIT_ASSERT_MESSAGE(it, !DecodeEvacuation("z", it));
+    }
+  }
+
+  // Guards against a restriction that is lost in reading, and against one odd value
+  // that takes the rest of the configuration out of force.
+  void ReadsAllowedRegions()
+  {
+    const char* body =
+      R"({"version":1,"routes":[{"host":"a","allowedRegions":["r1","r2"]},
+          {"host":"b","allowedRegions":[]},{"host":"c","allowedRegions":7},
+          {"host":"d","allowedRegions":[7,"r2"]}],
+          "tenants":[{"name":"acme","allowedRegions":["r2"]}]})";
+    InputIssues issues;
+    auto read = DecodeConfiguration(body, 1, ZoneRules::On, &issues);
+    auto of = [&](const char* aRoute) {
+      return read->FindRoute(aRoute)->mAllowedRegions;
+    };
+    CPPUNIT_ASSERT(of("a") == AllowedRegions({ "r1", "r2" }));
+    CPPUNIT_ASSERT(of("b").AllowsAll());
+    CPPUNIT_ASSERT(!of("c").AllowsAll() && !of("c").Allows("r1"));
+    CPPUNIT_ASSERT(of("d") == AllowedRegions({ "r2" }));
+    CPPUNIT_ASSERT(read->FindOrganisation("acme")->mAllowedRegions ==
+                   AllowedRegions({ "r2" }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, issues.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("routes.c.allowedRegions"), issues.front().mKey);
+    auto off = DecodeConfiguration(body, 1);
+    CPPUNIT_ASSERT(off->FindRoute("a")->mAllowedRegions.AllowsAll());
+  }
+
+  // Guards against a negative time or rate that becomes a huge one, and against an odd
+  // number that takes a database out of use.
+  void ReadsColdTimesAndRates()
+  {
+    auto read = [](const std::string& aCold, InputIssues& aIssues) {
+      return DecodeDatabase("i-1",
+                            R"({"service":"s","addr":"x:1","state":"ready")" + aCold +
+                              "}",
+                            ZoneRules::On,
+                            &aIssues)
+        ->mColdMs;
+    };
+    InputIssues issues;
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 4000 }, read(R"(,"coldMs":4000)", issues));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 0 }, read("", issues));
+    CPPUNIT_ASSERT(issues.empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 0 }, read(R"(,"coldMs":-4)", issues));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 0 }, read(R"(,"coldMs":"4")", issues));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, issues.size());
+    CPPUNIT_ASSERT(read(R"(,"coldMs":1e300)", issues) > 0);
+    auto catalogue = DecodeConfiguration(
+      R"({"version":1,"services":[{"name":"a","coldPerS":20},{"name":"b","coldPerS":-1}]})",
+      1,
+      ZoneRules::On,
+      &issues);
+    CPPUNIT_ASSERT_EQUAL(20.0, catalogue->FindGroup("a")->mColdPerS);
+    CPPUNIT_ASSERT_EQUAL(0.0, catalogue->FindGroup("b")->mColdPerS);
+    CPPUNIT_ASSERT_EQUAL(std::string("services.b.coldPerS"), issues.back().mKey);
+  }
+
   void ReportsAllErrorsInSettings()
   {
     auto settings = ReadSettings(R"({"nodeName":"f1","listen":{"front":"nowhere"}})");
--- a/test/proxy/FakeDatabases.h
+++ b/test/proxy/FakeDatabases.h
@@ -81,6 +81,12 @@
   {
     mFleet.OnListed({ aName, "g", "z", aAddress, 3, false, DatabaseRole::Unknown, 0 });
   }
+  // Moves a database, with the next version of its entry, to another zone.
+  void Move(const std::string& aName, const std::string& aZone)
+  {
+    mFleet.OnListed(
+      { aName, "g", aZone, "10.0.0.1:1", 3, false, DatabaseRole::Unknown, 0 });
+  }
   void Record(GroupPhase aPhase,
               std::uint64_t aChange,
               std::uint64_t aTerm,
