Reads pass over replicas that have just refused as behind

DatabasePool holds a ReplicaLag. The lease carries the position that the last command required, so that Backend::OnReply stays as it is (an argument would have changed all its callers). PlaceRead counts a lagging replica as too old, at the existing cost, and tells the pool which read was placed there. The primary is never counted as lagging. Which database serves a read is all that changes: the position still goes with the command and the database checks it.

The test fails without the check in PlaceRead, without the position in the lease, and without the call of OnChosen.

--- a/src/proxy/Backend.h
+++ b/src/proxy/Backend.h
@@ -27,6 +27,8 @@
   std::uint64_t mChange = 0;
   DatabaseLinkPtr mLink;
   std::shared_ptr<SharedConnectionState> mConnectionState;
+  // The log position that the command sent last required; none if it required none.
+  std::optional<LogPosition> mAfter;
 };
 using LeasePtr = std::shared_ptr<ConnectionLease>;
 
--- a/src/proxy/CallerSend.cpp
+++ b/src/proxy/CallerSend.cpp
@@ -190,6 +190,7 @@
   mIsSending = true;
   mBackend.OnSent(*mLease);
   mLease->mLink->SetTerms(Terms());
+  mLease->mAfter = aCommands.back().mAfter;
   if (MayRunAgain()) {
     WatchForNoResponse();
   }
--- a/src/proxy/DatabaseFleet.cpp
+++ b/src/proxy/DatabaseFleet.cpp
@@ -236,6 +236,7 @@
   if (auto pool = aLease.mPool.lock()) {
     pool->OnReply(aReply, aSentAt);
     pool->OnResult(aReply.mCode);
+    pool->NoteLag(aLease.mAfter, aReply.mCode);
   }
   NoteHead(aLease.mGroup, aLease.mDatabase, aReply, aSentAt);
 }
--- a/src/proxy/DatabasePool.cpp
+++ b/src/proxy/DatabasePool.cpp
@@ -184,6 +184,15 @@
   }
 }
 
+void DatabasePool::NoteLag(const std::optional<LogPosition>& aAfter, ReplyCode aCode)
+{
+  if (aAfter && aCode == ReplyCode::Behind) {
+    mLag.OnBehind(*aAfter, Clock::now());
+  } else if (aAfter && aCode == ReplyCode::Done) {
+    mLag.OnServed(*aAfter);
+  }
+}
+
 std::optional<LogPosition> DatabasePool::Position(TimePoint aNow) const
 {
   return aNow - mPositionAt < kMaxPositionAge ? mPosition : std::nullopt;
--- a/src/proxy/DatabasePool.h
+++ b/src/proxy/DatabasePool.h
@@ -5,6 +5,7 @@
 #include "proxy/Loop.h"
 #include "sesameway/ConnectionPlan.h"
 #include "sesameway/DatabaseList.h"
+#include "sesameway/ReplicaLag.h"
 #include "sesameway/ResultHealth.h"
 
 #include <map>
@@ -81,6 +82,9 @@
   // Counts the outcome of a caller's statement for the ejection of failing databases.
   void OnResult(ReplyCode aCode);
   bool IsEjected(TimePoint aNow) const { return mHealth.IsEjected(aNow); }
+  // Records how a statement that required this log position ended.
+  void NoteLag(const std::optional<LogPosition>& aAfter, ReplyCode aCode);
+  ReplicaLag& Lag() { return mLag; }
   // The end of the database's log according to its last reply; none if that reply is
   // too old.
   std::optional<LogPosition> Position(TimePoint aNow) const;
@@ -145,6 +149,7 @@
   std::optional<TimePoint> mUnansweredSince;
   TimePoint mSuspectUntil{};
   ResultHealth mHealth;
+  ReplicaLag mLag;
   std::optional<LogPosition> mPosition;
   TimePoint mPositionAt{};
   // Tickets for the daemon's own commands. Tickets for callers' statements are passed
--- a/src/proxy/FleetPlacement.cpp
+++ b/src/proxy/FleetPlacement.cpp
@@ -97,7 +97,9 @@
     candidate.mDistance = LatencyTo(it->mZone);
     candidate.mExpectedWait = ExpectedWaitAt(*pool, request.mTerms, now);
     candidate.mPosition = pool->Position(now);
-    candidate.mIsTooOld = request.mLaggingDatabases.count(it->mName) > 0;
+    // The primary holds every position that it has acknowledged.
+    candidate.mIsTooOld = request.mLaggingDatabases.count(it->mName) > 0 ||
+                          (!isPrimary && pool->Lag().IsLagging(after, now));
     candidate.mShouldAvoid =
       request.mAvoid.count(it->mName) > 0 || pool->IsEjected(now);
     candidates.push_back(std::move(candidate));
@@ -105,7 +107,9 @@
   auto choice = ChooseForFreshRead(candidates, after);
   if (choice) {
     const auto& chosen = candidates[*choice];
-    PlaceAt(aTicket, FindPool(chosen.mName), chosen.mIsPrimary);
+    auto pool = FindPool(chosen.mName);
+    pool->Lag().OnChosen(after, now);
+    PlaceAt(aTicket, pool, chosen.mIsPrimary);
   } else if (!mPending.at(aTicket).mOverloaded.empty()) {
     Refuse(aTicket, "overloaded", mPending.at(aTicket).mRetryAt);
   } else if (!mayUsePrimary && !group.mLeadership.IsChanging()) {
--- a/test/proxy/DatabaseFleetTest.cpp
+++ b/test/proxy/DatabaseFleetTest.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(ReplyToAStatementSentToAReplicaDoesNotSetThePrimarysHead);
   CPPUNIT_TEST(HeadProposedForAReplacedPrimaryIsNotConfirmedByTheNextOne);
   CPPUNIT_TEST(ReadThatWaitedAtAReplicaThatLeavesRunsElsewhere);
+  CPPUNIT_TEST(NextReadPassesOverAReplicaThatWasBehind);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -228,6 +229,39 @@
     CPPUNIT_ASSERT_EQUAL(1, world.mDatabases.Accept("third")->mBatches);
   }
 
+  // Guards against a detour of every session while a replica lags. Load: two sessions
+  // read one after the other; the replica refuses the first read as behind.
+  void NextReadPassesOverAReplicaThatWasBehind()
+  {
+    auto& world = *mWorld;
+    ConnectionLease lease;
+    lease.mDatabase = "old";
+    lease.mGroup = "g";
+    lease.mIsPrimary = true;
+    lease.mChange = 1;
+    world.mFleet.OnReply(lease, FleetWorld::Done(), Clock::now());
+    mSession = world.Connect("aged");
+    world.Ask(*mSession, RequestKind::Read, "READ a");
+    auto lagging = world.mDatabases.Accept("new");
+    CPPUNIT_ASSERT_EQUAL(1, lagging->mBatches);
+    ConnectionReply behind;
+    behind.mCode = ReplyCode::Behind;
+    lagging->Answer(behind);
+    auto other = world.mDatabases.Accept("third");
+    CPPUNIT_ASSERT_EQUAL(1, other->mBatches);
+    auto second = world.Connect("aged");
+    world.Ask(*second, RequestKind::Read, "READ b");
+    CPPUNIT_ASSERT_EQUAL(1, lagging->mBatches);
+    // After the pause, one read tries the replica and the next one does not.
+    world.RunFor(milliseconds(60));
+    auto third = world.Connect("aged");
+    world.Ask(*third, RequestKind::Read, "READ c");
+    CPPUNIT_ASSERT_EQUAL(2, lagging->mBatches);
+    auto fourth = world.Connect("aged");
+    world.Ask(*fourth, RequestKind::Read, "READ d");
+    CPPUNIT_ASSERT(!world.mDatabases.IsOpening("new"));
+  }
+
   std::unique_ptr<FleetWorld> mWorld;
   std::shared_ptr<CallerRun> mSession;
 };
