Count the store's returns, and move the rule on older configurations to the core

A return of the store with an older copy was visible only as the log line store_generation. Proxy::OnContact now counts it as store.returns: contact is noted after the revision is raised, whether the store or a peer answered, so each generation is counted once and returns from before the daemon's start are not. The rule that an older configuration does not replace the one in force was written inside Proxy::OnConfiguration, out of reach of tests of the core; it is now MayReplace, with the same condition.

--- a/include/sesameway/Catalogue.h
+++ b/include/sesameway/Catalogue.h
@@ -99,4 +99,9 @@
 
 using CataloguePtr = std::shared_ptr<const Catalogue>;
 
+// Whether a received configuration may replace the one in force, null if there is none.
+// A store that has returned with an older copy holds an older configuration until the
+// operator has written the newer one again.
+bool MayReplace(const Catalogue* aInForce, const Catalogue& aReceived);
+
 } // namespace sesameway
--- a/src/core/Catalogue.cpp
+++ b/src/core/Catalogue.cpp
@@ -41,4 +41,9 @@
   return nullptr;
 }
 
+bool MayReplace(const Catalogue* aInForce, const Catalogue& aReceived)
+{
+  return aInForce == nullptr || aReceived.mVersion >= aInForce->mVersion;
+}
+
 } // namespace sesameway
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -141,6 +141,8 @@
   // This daemon's member record, in the form in which it is stored.
   const std::string mOwnRecord;
   daemon::Metrics mMetrics;
+  // The store's generation at the latest contact with it.
+  std::optional<std::uint64_t> mGeneration;
   daemon::Workers mWorkers;
   std::shared_ptr<daemon::FleetAdmission> mAdmission;
   std::shared_ptr<daemon::ShareKeeper> mShareKeeper;
--- a/src/proxy/ProxyStore.cpp
+++ b/src/proxy/ProxyStore.cpp
@@ -36,6 +36,9 @@
   if (mRegistration.Covers(aContact)) {
     mFleet.SetContact(aContact);
   }
+  auto generation = GenerationOf(mSync.OwnRevision());
+  mMetrics.Count("store.returns", generation - mGeneration.value_or(generation));
+  mGeneration = generation;
 }
 
 void Proxy::OnChange(const StoredObject& aObject)
@@ -62,9 +65,7 @@
                       .With("expected", catalogue.error());
     return;
   }
-  // A store that has returned with an older copy holds an older configuration until the
-  // operator has written the newer one again.
-  if (mCatalogue && catalogue->mVersion < mCatalogue->mVersion) {
+  if (!MayReplace(mCatalogue.get(), *catalogue)) {
     LOG(WARNING) << daemon::LogLine("configuration_older")
                       .With("revision", aObject.mRevision)
                       .With("version", catalogue->mVersion)
