Two tests of the zone rules fail without their rule

Why: two tests passed with their rule taken out: a target in an evacuated zone was still replaced in the end, and a read that avoids a cold database was not seen to run elsewhere. Both now check the database that is chosen.

--- a/test/core/PromotionTest.cpp
+++ b/test/core/PromotionTest.cpp
@@ -612,6 +612,11 @@
     CPPUNIT_ASSERT_EQUAL(std::string("i-1"), world.mLastOrdered);
     world.mAreOrdersLost = false;
     world.mEvacuatedZones = { "z0", "z1" };
+    auto orders = world.mOrders;
+    for (int n = 0; n < 100 && world.mOrders == orders; ++n) {
+      world.Step();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("i-2"), world.mLastOrdered);
     CPPUNIT_ASSERT(world.RunUntilServedBy("i-2", seconds(8)));
     CPPUNIT_ASSERT_EQUAL(std::string(), world.mOrderedWhileInUse);
   }
--- a/test/proxy/FleetZonesTest.cpp
+++ b/test/proxy/FleetZonesTest.cpp
@@ -230,6 +230,7 @@
     NoteHead();
     Ask("aged", RequestKind::Read);
     CPPUNIT_ASSERT(!mWorld->mDatabases.IsOpening("new"));
+    CPPUNIT_ASSERT(mWorld->mDatabases.IsOpening("third"));
     mWorld->RunFor(milliseconds(300));
     mWorld->mFleet.SetContact(Clock::now());
     Ask("strict", RequestKind::Write);
