--- a/include/sesameway/LentSession.h
+++ b/include/sesameway/LentSession.h
@@ -14,8 +14,13 @@
 class LentSession
 {
 public:
+  // Whether the commands are a batch as sessions send it: at least one, of which the
+  // last does more than set up the session.
+  static bool IsBatch(const std::vector<ConnectionCommand>& aCommands);
+
   // Returns the batch to send on the connection with this state. All commands but the
-  // last one set up the session. Call OnReplies with the replies before the next batch.
+  // last one set up the session. Call ToBorrower with the replies before the next
+  // batch.
   std::vector<ConnectionCommand> ToConnection(
     const std::vector<ConnectionCommand>& aBatch,
     SharedConnectionState& aState);
--- a/src/core/ColdAllowance.cpp
+++ b/src/core/ColdAllowance.cpp
@@ -39,8 +39,9 @@
   if (isSame) {
     return;
   }
-  if (!mIsKnown) {
+  if (!mIsKnown || aStartedAtMs != mStartedAtMs) {
     mStartAt = aNow;
+    mUnsent = 0;
   }
   mIsKnown = true;
   mStartedAtMs = aStartedAtMs;
--- a/src/core/LentSession.cpp
+++ b/src/core/LentSession.cpp
@@ -50,6 +50,11 @@
 
 } // namespace
 
+bool LentSession::IsBatch(const std::vector<ConnectionCommand>& aCommands)
+{
+  return !aCommands.empty() && !IsSetUp(aCommands.back().mKind);
+}
+
 void LentSession::Note(const std::vector<ConnectionCommand>& aBatch)
 {
   for (const auto& it : aBatch) {
--- a/src/core/StatementQueue.cpp
+++ b/src/core/StatementQueue.cpp
@@ -61,7 +61,8 @@
   if (auto refusal = Judge(aTerms, aNow)) {
     RefuseNow(aTicket, aTerms, refusal->mReason, aNow, actions);
   } else {
-    if (mWaiting.size() >= kMaxWaiting && !aTerms.mIsInTransaction) {
+    if (mWaiting.size() - mTransactions.mStatements >= kMaxWaiting &&
+        !aTerms.mIsInTransaction) {
       auto cost = mCosts.Find(aTerms.mCostClass).mCost;
       if (auto displaced = FindDisplaced(aTerms, cost)) {
         RefuseWaiting(*displaced, QueueRefusal::Full, aNow, actions);
@@ -184,7 +185,8 @@
   if (aTerms.mDeadline - aNow < wait + estimate.CostForRefusal(aNow)) {
     return refuse(QueueRefusal::Deadline);
   }
-  if (mWaiting.size() >= kMaxWaiting && !FindDisplaced(aTerms, estimate.mCost)) {
+  if (mWaiting.size() - mTransactions.mStatements >= kMaxWaiting &&
+      !FindDisplaced(aTerms, estimate.mCost)) {
     return refuse(QueueRefusal::Full);
   }
   return std::nullopt;
--- a/src/proxy/DatabaseFleet.cpp
+++ b/src/proxy/DatabaseFleet.cpp
@@ -33,7 +33,7 @@
   , mBorrower(aLoop, aDatabases, mCount)
   , mLender(
       aLoop,
-      [this](const std::string& aName) { return FindHomePool(aName); },
+      [this](const std::string& aName) { return FindLendingPool(aName); },
       mCount)
   , mName(aSettings.mName)
   , mZone(aSettings.mZone)
@@ -84,6 +84,7 @@
     RemovePools(aDatabase.mName);
   }
   AssignRole(aDatabase);
+  ApplyColdRates(Clock::now());
   mGroups[aDatabase.mGroup];
   if (aDatabase.mIsLeaving) {
     WithdrawPlacements(aDatabase.mGroup);
@@ -228,8 +229,10 @@
   auto now = Clock::now();
   auto pool = aLease.mPool.lock();
   auto silence = pool ? pool->Silence(now) : std::nullopt;
-  // A statement that waits in a queue is not unanswered.
-  auto wait = pool ? ExpectedWaitAt(*pool, {}, now) : Duration::zero();
+  // A statement that waits in a home's queue is not unanswered.
+  bool isBorrowing = pool && pool->Kind() == PoolKind::Borrowing;
+  auto wait =
+    isBorrowing ? mBorrower.ExpectedWait(aLease.mDatabase, now) : Duration::zero();
   return silence && *silence >= kUnresponsiveAfter + wait;
 }
 
--- a/src/proxy/DatabaseFleet.h
+++ b/src/proxy/DatabaseFleet.h
@@ -51,6 +51,8 @@
   {
     mLender.Lend(aRequest, aDone);
   }
+  // Takes back the lent connections that no statement uses.
+  void TakeBackIdleLinks() { mLender.TakeBackIdle(Duration::zero()); }
   // Lends no more connections. Those that are lent stay so until they are returned.
   void StopLending() { mLender.Stop(); }
   std::size_t LentCount() const { return mLender.LentCount(); }
@@ -254,6 +256,8 @@
   // The pool from which this daemon lends as a home of the database; null if it is
   // none.
   PoolPtr FindHomePool(const std::string& aName) const;
+  // The same, but null while the database's zone is evacuated.
+  PoolPtr FindLendingPool(const std::string& aName) const;
   // Gives the database's pools the kind and limit that this daemon's role asks for.
   void AssignRole(const ListedDatabase& aDatabase);
   void AssignRoles();
--- a/src/proxy/DatabasePool.cpp
+++ b/src/proxy/DatabasePool.cpp
@@ -120,7 +120,9 @@
   auto id = aLease->mConnection;
   mLeases.erase(id);
   auto now = Clock::now();
-  if (aIsBroken || mIsRetired) {
+  // A connection that was closed while its statement waited for a slot is told from an
+  // idle one only by its state.
+  if (aIsBroken || mIsRetired || aLease->mLink->IsClosed()) {
     mConnections.erase(id);
     aLease->mLink->Close();
     Execute(mPlan.OnGone(id, now));
@@ -130,11 +132,16 @@
   Execute(mPlan.OnReleased(id, now));
 }
 
+void DatabasePool::RefuseWaiting()
+{
+  Execute(mPlan.RefuseAll(Clock::now()));
+}
+
 void DatabasePool::Retire()
 {
   mIsRetired = true;
   Execute(mPlan.SetLimit(0, Clock::now()));
-  Execute(mPlan.RefuseAll(Clock::now()));
+  RefuseWaiting();
 }
 
 std::vector<LeasePtr> DatabasePool::Leases() const
@@ -181,8 +188,12 @@
   }
 }
 
+// Where every daemon connects to the databases, reads try each replica as before.
 void DatabasePool::NoteLag(const std::optional<LogPosition>& aAfter, ReplyCode aCode)
 {
+  if (mKind == PoolKind::Direct) {
+    return;
+  }
   if (aAfter && aCode == ReplyCode::Behind) {
     mLag.OnBehind(*aAfter, Clock::now());
   } else if (aAfter && aCode == ReplyCode::Done) {
@@ -401,9 +412,10 @@
       timer->Cancel();
       auto& reply = aReplies.back();
       self->OnReply(reply, sentAt);
-      bool isLost = reply.mCode == ReplyCode::Lost || reply.mRetryAt;
+      bool isLost = reply.mCode == ReplyCode::Lost;
+      bool isUnsent = reply.mRetryAt.has_value();
       self->Release(aLease, isLost);
-      done(isLost ? std::nullopt : std::optional(std::move(reply)));
+      done(isLost || isUnsent ? std::nullopt : std::optional(std::move(reply)));
     };
   aLease->mLink->SetTerms(OwnTerms(aDeadline));
   aLease->mLink->Send({ aCommand }, std::move(onReplies));
--- a/src/proxy/DatabasePool.h
+++ b/src/proxy/DatabasePool.h
@@ -56,6 +56,8 @@
                GrantCallback aDone);
   void CancelAcquire(std::uint64_t aTicket);
   void Release(const LeasePtr& aLease, bool aIsBroken);
+  // Refuses the requests that wait for a connection.
+  void RefuseWaiting();
   // Stops using the database: idle connections are closed, waiting requests are
   // refused, and connections in use are closed when they are released.
   void Retire();
--- a/src/proxy/DatabaseQueue.cpp
+++ b/src/proxy/DatabaseQueue.cpp
@@ -44,20 +44,22 @@
   });
 }
 
-// A refusal because of the database's role or position comes at once and says nothing
-// about its load.
-ConcurrencyLimit::Outcome OutcomeOf(ReplyCode aCode)
+// What the reply says about the database's load. Errors of the statement itself, and
+// refusals because of the database's role or position, say nothing: they come at once,
+// and a caller may cause them.
+std::optional<ConcurrencyLimit::Outcome> OutcomeOf(ReplyCode aCode)
 {
   switch (aCode) {
+    case ReplyCode::Done:
+      return ConcurrencyLimit::Outcome::Good;
     case ReplyCode::Busy:
       return ConcurrencyLimit::Outcome::Refused;
-    case ReplyCode::Failed:
     case ReplyCode::TimedOut:
       return ConcurrencyLimit::Outcome::Failed;
     case ReplyCode::Lost:
       return ConcurrencyLimit::Outcome::NoAnswer;
     default:
-      return ConcurrencyLimit::Outcome::Good;
+      return std::nullopt;
   }
 }
 
@@ -101,6 +103,7 @@
   }
 
   void SetTerms(const StatementTerms& aTerms) override { mTerms = aTerms; }
+  bool IsClosed() const override { return mLink->IsClosed(); }
 
   void Close() override
   {
@@ -199,10 +202,12 @@
 void DatabaseQueue::OnOpening()
 {
   mQueue.Occupy();
+  ++mOpenings;
 }
 
 void DatabaseQueue::OnOpeningEnded()
 {
+  --mOpenings;
   Execute(mQueue.Vacate(Clock::now()));
 }
 
@@ -250,7 +255,7 @@
   }
   auto& batch = it->second;
   batch.mSentAt = Clock::now();
-  batch.mRunning = mQueue.Running();
+  batch.mRunning = mQueue.Running() + mOpenings;
   auto link = batch.mLink;
   link->Send(std::move(batch.mCommands),
              [self = shared_from_this(),
@@ -279,34 +284,45 @@
   auto now = Clock::now();
   auto batch = std::move(mBatches.extract(aTicket).mapped());
   auto code = aReplies.empty() ? ReplyCode::Lost : aReplies.back().mCode;
-  mLimit.OnResult(
-    batch.mTerms.mCostClass, now - batch.mSentAt, OutcomeOf(code), batch.mRunning, now);
-  auto actions = mQueue.OnEnded(aTicket, code == ReplyCode::Done, now);
+  if (auto outcome = OutcomeOf(code)) {
+    mLimit.OnResult(
+      batch.mTerms.mCostClass, now - batch.mSentAt, *outcome, batch.mRunning, now);
+  }
+  // A lower limit holds before the slot that is free now is given to another statement.
+  auto actions = mQueue.SetLimit(mLimit.Limit(), now);
+  auto started = mQueue.OnEnded(aTicket, code == ReplyCode::Done, now);
+  actions.insert(actions.end(), started.begin(), started.end());
+  LogLimit(kReplyCodeNames.Name(code), now);
   batch.mDone(std::move(aReplies));
   Execute(actions);
-  ApplyLimit(kReplyCodeNames.Name(code));
 }
 
 void DatabaseQueue::ApplyLimit(std::string_view aCause)
 {
   auto now = Clock::now();
-  auto limit = mLimit.Limit();
-  if (limit != mLoggedLimit && now >= mNextLogAt) {
-    LOG(INFO) << daemon::LogLine("concurrency_limit")
-                   .With("database", mDatabase)
-                   .With("from", mLoggedLimit)
-                   .With("to", limit)
-                   .With("cause", aCause)
-                   .With("waiting", mQueue.Waiting());
-    mLoggedLimit = limit;
-    mNextLogAt = now + kLimitLogInterval;
-  }
-  auto actions = mQueue.SetLimit(limit, now);
+  LogLimit(aCause, now);
+  auto actions = mQueue.SetLimit(mLimit.Limit(), now);
   if (!actions.empty()) {
     Execute(actions);
   }
 }
 
+void DatabaseQueue::LogLimit(std::string_view aCause, TimePoint aNow)
+{
+  auto limit = mLimit.Limit();
+  if (limit == mLoggedLimit || aNow < mNextLogAt) {
+    return;
+  }
+  LOG(INFO) << daemon::LogLine("concurrency_limit")
+                 .With("database", mDatabase)
+                 .With("from", mLoggedLimit)
+                 .With("to", limit)
+                 .With("cause", aCause)
+                 .With("waiting", mQueue.Waiting());
+  mLoggedLimit = limit;
+  mNextLogAt = aNow + kLimitLogInterval;
+}
+
 void DatabaseQueue::SetTick()
 {
   auto next = mQueue.NextTick();
--- a/src/proxy/DatabaseQueue.h
+++ b/src/proxy/DatabaseQueue.h
@@ -32,7 +32,8 @@
     StatementTerms mTerms;
     DatabaseLink::Replies mDone;
     TimePoint mSentAt{};
-    // How many batches were running when this one was sent.
+    // How many batches and openings of connections occupied slots when this one was
+    // sent.
     std::size_t mRunning = 0;
   };
 
@@ -70,6 +71,7 @@
   void Execute(const StatementQueue::Refuse& aRefuse);
   void OnReplies(std::uint64_t aTicket, std::vector<ConnectionReply> aReplies);
   void ApplyLimit(std::string_view aCause);
+  void LogLimit(std::string_view aCause, TimePoint aNow);
   void SetTick();
 
   Loop& mLoop;
@@ -78,6 +80,8 @@
   StatementQueue mQueue;
   ConcurrencyLimit mLimit;
   Timer mTick;
+  // Connections that are being opened.
+  std::size_t mOpenings = 0;
   std::uint64_t mNextTicket = 1;
   std::map<std::uint64_t, Batch> mBatches;
   std::size_t mLoggedLimit = 0;
--- a/src/proxy/FleetHomes.cpp
+++ b/src/proxy/FleetHomes.cpp
@@ -22,8 +22,10 @@
 
 HomePlan DatabaseFleet::PlanFor(const ListedDatabase& aDatabase) const
 {
+  bool isKnown = mCatalogue && mCatalogue->FindGroup(aDatabase.mGroup) != nullptr;
   return PlanHomes(
-    { mName, aDatabase.mName, aDatabase.mZone, ConnectionsOf(aDatabase) }, mHomeFleet);
+    { mName, aDatabase.mName, aDatabase.mZone, isKnown ? ConnectionsOf(aDatabase) : 0 },
+    mHomeFleet);
 }
 
 void DatabaseFleet::AssignRoles()
@@ -79,7 +81,9 @@
   }
   bool wasFirst = aHome == aPool;
   if (wasFirst && !aIsFirst) {
+    // Waiting requests are placed again, in the pool that borrows.
     aPool = nullptr;
+    aHome->RefuseWaiting();
   }
   if (!aIsHome) {
     Retire(std::exchange(aHome, nullptr));
@@ -139,6 +143,12 @@
   return it == mHomePools.end() ? nullptr : it->second;
 }
 
+DatabaseFleet::PoolPtr DatabaseFleet::FindLendingPool(const std::string& aName) const
+{
+  auto pool = FindHomePool(aName);
+  return pool && mEvacuations.Contains(pool->Listed().mZone) ? nullptr : pool;
+}
+
 Duration DatabaseFleet::ExpectedWaitAt(const DatabasePool& aPool,
                                        const StatementTerms& aTerms,
                                        TimePoint aNow) const
--- a/src/proxy/FleetPlacement.cpp
+++ b/src/proxy/FleetPlacement.cpp
@@ -130,15 +130,11 @@
 {
   auto& pending = mPending.at(aTicket);
   auto now = Clock::now();
-  // At homes the queue bounds what starts at a cold database.
-  bool isDirect = aPool->Kind() == PoolKind::Direct;
-  auto coldUntil = isDirect ? TakeColdStart(aPool->Listed(), now) : std::nullopt;
-  if (coldUntil) {
-    Refuse(aTicket, "database_cold", *coldUntil);
-    return;
-  }
   const auto& terms = pending.mRequest.mTerms;
-  auto wait = ExpectedWaitAt(*aPool, terms, now);
+  // A home alone knows what waits before this statement; what it reported last was
+  // about another one.
+  bool isBorrowing = aPool->Kind() == PoolKind::Borrowing;
+  auto wait = isBorrowing ? Duration::zero() : ExpectedWaitAt(*aPool, terms, now);
   if (now + wait > pending.mRequest.mDeadline) {
     Refuse(aTicket, "overloaded", now + wait);
     return;
@@ -148,6 +144,13 @@
     OnOverload(aTicket, *until);
     return;
   }
+  // At homes the queue bounds what starts at a cold database.
+  bool isDirect = aPool->Kind() == PoolKind::Direct;
+  auto coldUntil = isDirect ? TakeColdStart(aPool->Listed(), now) : std::nullopt;
+  if (coldUntil) {
+    Refuse(aTicket, "database_cold", *coldUntil);
+    return;
+  }
   pending.mDatabase = aPool->Listed().mName;
   pending.mIsAtPrimary = aIsPrimary;
   pending.mChange = mGroups[pending.mRequest.mGroup].mLeadership.Record().mChange;
@@ -162,6 +165,9 @@
 {
   auto it = mPending.find(aTicket);
   if (it == mPending.end()) {
+    if (aLease) {
+      Release(*aLease, false);
+    }
     return;
   }
   auto& pending = it->second;
--- a/src/proxy/FleetPrimary.cpp
+++ b/src/proxy/FleetPrimary.cpp
@@ -163,8 +163,17 @@
   for (const auto& it : mPools) {
     pools.push_back(it.second);
   }
+  // A home that lost its rank may have leases of its own sessions in its home pool.
+  for (const auto& it : mHomePools) {
+    if (it.second && it.second != FindPool(it.first)) {
+      pools.push_back(it.second);
+    }
+  }
   std::vector<LeasePtr> replaced;
   for (const auto& it : pools) {
+    if (!it) {
+      continue;
+    }
     for (auto& lease : it->Leases()) {
       if (lease->mGroup == aGroup && !IsInForce(*lease)) {
         replaced.push_back(std::move(lease));
@@ -255,6 +264,10 @@
   round->mHasFailed = others.empty();
   round->mOpen = others.size() + 1;
   for (const auto& it : others) {
+    if (!it) {
+      OnRoundAnswer(aName, round, std::nullopt);
+      continue;
+    }
     it->Ask(status,
             now + kRoundTimeout,
             [this, aName, round](std::optional<ConnectionReply> aReply) {
--- a/src/proxy/LinkBorrower.cpp
+++ b/src/proxy/LinkBorrower.cpp
@@ -76,7 +76,9 @@
     ++mBatch;
     mSession.Note(aCommands);
     mCommands = std::move(aCommands);
+    mSentCount = mCommands.size();
     mRefused.clear();
+    mIsUnreachable = false;
     mSentAt = Clock::now();
     if (mDirect) {
       SendDirect();
@@ -87,12 +89,16 @@
       Finish(NotSent("connection_lost", mSentAt));
     } else {
       mCommands = mSession.WithSetUp(mCommands);
+      mSentCount = mCommands.size();
       AskNextHome();
     }
   }
 
   void SetTerms(const StatementTerms& aTerms) override { mTerms = aTerms; }
 
+  // A batch that follows runs on another connection.
+  bool IsClosed() const override { return false; }
+
   void Close() override
   {
     auto self = shared_from_this();
@@ -179,7 +185,8 @@
       if (Clock::now() < WireTerms().mDeadline) {
         AskNextHome();
       } else {
-        Finish({});
+        Finish(aIsWhole ? std::vector<ConnectionReply>{}
+                        : NotSent("no_answer_of_home", Clock::now() + kRetryPause));
       }
       return;
     }
@@ -195,7 +202,7 @@
     } else if (mLent) {
       SendLent();
     } else {
-      Finish({});
+      Finish(NotSent("no_link", Clock::now() + kRetryPause));
     }
   }
 
@@ -297,7 +304,7 @@
     auto replies = std::move(aReplies.mReplies);
     bool isLost = replies.empty() || replies.back().mCode == ReplyCode::Lost;
     if (!isLost) {
-      mBorrower.OnHeard(mHome);
+      mBorrower.mHeardAt[mHome] = Clock::now();
       mBorrower.NoteWait(mTarget.mDatabase, aReplies.mExpectedWait);
     }
     if (isLost || replies.back().mTransaction == TransactionState::None) {
@@ -306,27 +313,35 @@
     Finish(std::move(replies));
   }
 
-  // Passes the replies to the commands that the session sent. The ones before them set
-  // the session up on another connection.
+  // Passes the replies to the commands that the session sent. With the session's set-up
+  // the batch may have had more or fewer commands before the last one.
   void Finish(std::vector<ConnectionReply> aReplies)
   {
     if (!mDone) {
       return;
     }
     bool isUnsent = aReplies.size() == 1 && aReplies.front().mRetryAt;
-    if (!isUnsent && aReplies.size() < mExpected) {
-      aReplies.assign(mExpected, ConnectionReply{});
+    if (!isUnsent) {
+      aReplies = Expand(std::move(aReplies));
     }
-    if (!isUnsent && aReplies.size() > mExpected) {
-      auto failed = std::find_if(aReplies.begin(), aReplies.end() - 1, [](auto& aIt) {
-        return aIt.mCode != ReplyCode::Done;
+    std::exchange(mDone, nullptr)(std::move(aReplies));
+  }
+
+  std::vector<ConnectionReply> Expand(std::vector<ConnectionReply> aReplies) const
+  {
+    std::vector<ConnectionReply> replies(mExpected);
+    bool isSetUp =
+      !aReplies.empty() && aReplies.size() == mSentCount &&
+      std::all_of(aReplies.begin(), aReplies.end() - 1, [](const auto& aIt) {
+        return aIt.mCode == ReplyCode::Done;
       });
-      if (failed != aReplies.end() - 1) {
-        aReplies.back() = ConnectionReply{};
+    if (isSetUp) {
+      for (auto& it : replies) {
+        it.mCode = ReplyCode::Done;
       }
-      aReplies.erase(aReplies.begin(), aReplies.end() - mExpected);
+      replies.back() = std::move(aReplies.back());
     }
-    std::exchange(mDone, nullptr)(std::move(aReplies));
+    return replies;
   }
 
   LinkBorrower& mBorrower;
@@ -345,7 +360,9 @@
   std::uint64_t mBatch = 0;
   TimePoint mSentAt{};
   std::vector<ConnectionCommand> mCommands;
+  // Commands that the session sent, and those that were sent for them.
   std::size_t mExpected = 0;
+  std::size_t mSentCount = 0;
   Replies mDone;
 };
 
@@ -359,6 +376,8 @@
 void LinkBorrower::SetAddresses(std::map<std::string, std::string> aAddresses)
 {
   mAddresses = std::move(aAddresses);
+  std::erase_if(mHeardAt,
+                [this](const auto& aIt) { return mAddresses.count(aIt.first) == 0; });
 }
 
 void LinkBorrower::SetHomes(const std::string& aDatabase,
--- a/src/proxy/LinkLender.cpp
+++ b/src/proxy/LinkLender.cpp
@@ -12,17 +12,27 @@
 // Borrowers wait a little longer than this before they ask another home.
 constexpr Duration kGrantTimeout = milliseconds(400);
 constexpr Duration kRetryPause = milliseconds(250);
+// How long after its deadline a batch may still be answered, and how long one without a
+// deadline may take.
+constexpr Duration kGiveUpAllowance = milliseconds(200);
+constexpr Duration kLongestBatch = seconds(60);
 // Tickets of statements and of a pool's own commands are below and above these.
 constexpr std::uint64_t kFirstTicket = std::uint64_t{ 1 } << 61;
-// A replica that has left all statements unanswered for this long may be gone, so reads
-// go elsewhere meanwhile. Statements that need a primary have no other database.
+// A database that has left all statements unanswered for this long may be gone, so
+// reads go elsewhere meanwhile. Statements that need a primary have no other database.
 constexpr Duration kSilenceLimit = milliseconds(500);
 
 bool IsSilent(const DatabasePool& aPool, TimePoint aNow)
 {
-  bool isReplica = aPool.Listed().mRole == DatabaseRole::Replica;
   auto silence = aPool.Silence(aNow);
-  return isReplica && silence && *silence >= kSilenceLimit;
+  return silence && *silence >= kSilenceLimit;
+}
+
+bool MayRunElsewhere(const DatabasePool& aPool,
+                     const std::vector<ConnectionCommand>& aCommands)
+{
+  bool isReplica = aPool.Listed().mRole == DatabaseRole::Replica;
+  return isReplica || (!aCommands.empty() && IsRead(aCommands.back().mKind));
 }
 
 } // namespace
@@ -32,10 +42,11 @@
 class LinkLender::Loan : public std::enable_shared_from_this<Loan>
 {
 public:
-  Loan(PoolPtr aPool, LeasePtr aLease)
+  Loan(Loop& aLoop, PoolPtr aPool, LeasePtr aLease)
     : mPool(std::move(aPool))
     , mLease(std::move(aLease))
     , mUsedAt(Clock::now())
+    , mGiveUp(aLoop)
   {
   }
   Loan(const Loan&) = delete;
@@ -48,13 +59,15 @@
   {
     mUsedAt = Clock::now();
     if (!mLease) {
-      ConnectionReply reply;
-      reply.mCode = ReplyCode::Aborted;
-      reply.mDetail = "link_taken_back";
-      reply.mRetryAt = mUsedAt;
-      aDone({ { reply }, {} });
+      aDone({ { NotSent(ReplyCode::Aborted, "link_taken_back") }, {} });
       return;
     }
+    if (!LentSession::IsBatch(aCommands)) {
+      aDone({ { NotSent(ReplyCode::Malformed, "batch") }, {} });
+      return;
+    }
+    mIsBusy = true;
+    SetGiveUp(aTerms);
     mIsClean = false;
     mPool->OnSent(mUsedAt);
     mLease->mLink->SetTerms(aTerms);
@@ -70,23 +83,63 @@
   void End()
   {
     if (mLease) {
+      mLease->mLink->OnBroken(nullptr);
       mPool->Release(std::exchange(mLease, nullptr), !mIsClean);
     }
   }
 
   bool IsOpen() const { return mLease != nullptr; }
-  bool IsIdleSince(TimePoint aSince) const { return mLease && mUsedAt < aSince; }
+  bool IsIdleSince(TimePoint aSince) const
+  {
+    return mLease && !mIsBusy && mUsedAt < aSince;
+  }
+  // Ends the loan if the connection breaks while it is not in use.
+  void WatchConnection()
+  {
+    mLease->mLink->OnBroken([weak = weak_from_this()] {
+      if (auto self = weak.lock()) {
+        self->End();
+      }
+    });
+  }
 
 private:
+  static ConnectionReply NotSent(ReplyCode aCode, const char* aReason)
+  {
+    ConnectionReply reply;
+    reply.mCode = aCode;
+    reply.mDetail = aReason;
+    reply.mRetryAt = Clock::now();
+    return reply;
+  }
+
+  // The borrower gives up at the deadline, which the home may not learn: a database
+  // that never answers would keep the slot.
+  void SetGiveUp(const StatementTerms& aTerms)
+  {
+    auto until = std::min(aTerms.mDeadline, Clock::now() + kLongestBatch);
+    mGiveUp.Set(until + kGiveUpAllowance, [weak = weak_from_this()] {
+      if (auto self = weak.lock()) {
+        self->End();
+      }
+    });
+  }
+
   void OnReplies(std::vector<ConnectionReply> aReplies,
                  StatementTerms aTerms,
                  const peer::LentLink::Replies& aDone)
   {
     auto sentAt = std::exchange(mUsedAt, Clock::now());
+    mIsBusy = false;
+    mGiveUp.Cancel();
+    auto pool = mPool;
+    if (aReplies.empty()) {
+      aReplies.emplace_back();
+    }
     const auto& last = aReplies.back();
     if (!last.mRetryAt) {
-      mPool->OnReply(last, sentAt);
-      mPool->OnResult(last.mCode);
+      pool->OnReply(last, sentAt);
+      pool->OnResult(last.mCode);
     }
     if (!mLease) {
       // The borrower is gone.
@@ -99,7 +152,7 @@
       End();
     }
     aTerms.mIsInTransaction = false;
-    aDone({ std::move(replies), mPool->ExpectedWait(aTerms) });
+    aDone({ std::move(replies), pool->ExpectedWait(aTerms) });
   }
 
   // A refusal before the batch was sent leaves a transaction as it was, so it is clean
@@ -110,13 +163,16 @@
     if (isSent) {
       mIsInTransaction = aLast.mTransaction != TransactionState::None;
     }
-    return !mIsInTransaction && aLast.mCode != ReplyCode::Lost;
+    return !mIsInTransaction && aLast.mCode != ReplyCode::Lost &&
+           aLast.mCode != ReplyCode::WrongDatabase;
   }
 
   PoolPtr mPool;
   LeasePtr mLease;
   LentSession mSession;
   TimePoint mUsedAt;
+  Timer mGiveUp;
+  bool mIsBusy = false;
   bool mIsInTransaction = false;
   // Whether the connection may be used again if the loan ends now.
   bool mIsClean = true;
@@ -133,7 +189,11 @@
   }
   LentConnection(const LentConnection&) = delete;
   LentConnection& operator=(const LentConnection&) = delete;
-  ~LentConnection() override { Return(); }
+  // The loan is handed on, so that its last reference ends on the loop's thread.
+  ~LentConnection() override
+  {
+    mLoop.Post([loan = std::move(mLoan)] { loan->End(); });
+  }
 
   void Send(std::vector<ConnectionCommand> aCommands,
             StatementTerms aTerms,
@@ -176,7 +236,8 @@
     Refuse(peer::LinkRefusal::Leaving, now, {}, aDone);
     return;
   }
-  if (pool->IsSuspect(now) || IsSilent(*pool, now)) {
+  bool isSilent = IsSilent(*pool, now) && MayRunElsewhere(*pool, aRequest.mCommands);
+  if (pool->IsSuspect(now) || isSilent) {
     Refuse(peer::LinkRefusal::Unreachable, now + kRetryPause, {}, aDone);
     return;
   }
@@ -213,7 +274,8 @@
                            const std::function<void(peer::LinkOffer)>& aDone)
 {
   mCount("homes.lent");
-  auto loan = std::make_shared<Loan>(aPool, std::move(aLease));
+  auto loan = std::make_shared<Loan>(mLoop, aPool, std::move(aLease));
+  loan->WatchConnection();
   std::erase_if(mLoans, [](const auto& aIt) { return aIt.expired(); });
   mLoans.push_back(loan);
   if (aRequest.mCommands.empty()) {
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -227,6 +227,9 @@
 void Proxy::DrainSessions()
 {
   auto now = Clock::now();
+  if (mDrainPlan->EndsTransactions(now)) {
+    mFleet.TakeBackIdleLinks();
+  }
   bool isAnyOpen = mFleet.LentCount() > 0;
   for (const auto& it : mSessions) {
     auto session = it.lock();
--- a/src/proxy/Transport.h
+++ b/src/proxy/Transport.h
@@ -24,6 +24,8 @@
   // passed together and in order. Replies that had not arrived when the connection
   // broke are Lost.
   virtual void Send(std::vector<ConnectionCommand> aCommands, Replies aDone) = 0;
+  // Whether the connection has been closed or has broken.
+  virtual bool IsClosed() const = 0;
   // Says how urgent the batches that follow are. A connection without a queue before
   // the database ignores it.
   virtual void SetTerms(const StatementTerms&) {}
--- a/test/proxy/DatabaseFleetTest.cpp
+++ b/test/proxy/DatabaseFleetTest.cpp
@@ -212,7 +212,15 @@
   // there for a connection when the removal began.
   void ReadThatWaitedAtAReplicaThatLeavesRunsElsewhere()
   {
-    auto& world = *mWorld;
+    Settings settings;
+    settings.mName = "home";
+    settings.mZone = "z";
+    FleetWorld world(settings);
+    std::vector<MemberRecord> daemons{ { "home", "z", "h:1", 1, false, 64 } };
+    for (int n = 0; n < 40; ++n) {
+      daemons.push_back({ "d" + std::to_string(n), "z", "d:1", 1, false, 0.01 });
+    }
+    world.mFleet.SetDaemons(daemons);
     ConnectionLease lease;
     lease.mDatabase = "old";
     lease.mGroup = "g";
--- a/test/proxy/FakeBackend.h
+++ b/test/proxy/FakeBackend.h
@@ -28,6 +28,7 @@
     mOnBroken = nullptr;
     BreakWhileBusy();
   }
+  bool IsClosed() const override { return mIsClosed; }
   void OnBroken(std::function<void()> aCallback) override
   {
     mOnBroken = std::move(aCallback);
--- a/test/proxy/ModelDatabases.h
+++ b/test/proxy/ModelDatabases.h
@@ -66,6 +66,7 @@
     mOnBroken = nullptr;
     Break();
   }
+  bool IsClosed() const override { return mIsClosed; }
   void OnBroken(std::function<void()> aCallback) override
   {
     mOnBroken = std::move(aCallback);
