One name for a reply to a batch that was not sent; less state of shared connections

The constructor and the readers of SharedConnectionState served the former wire format, in which the state travelled with the link, and have no caller any more. Comments say who uses LentSession and which way a statement takes. No behaviour changes.

--- a/include/sesameway/LentSession.h
+++ b/include/sesameway/LentSession.h
@@ -10,7 +10,8 @@
 
 // A borrower's session on a connection that is shared with others. The borrower sets
 // and prepares what its session needs as on a new connection, because it does not know
-// what is there; the home sends only what is missing.
+// what is there; the home sends only what is missing. The
+// home uses ToConnection and ToBorrower, the borrower Note and WithSetUp.
 class LentSession
 {
 public:
--- a/include/sesameway/SharedConnection.h
+++ b/include/sesameway/SharedConnection.h
@@ -153,6 +153,12 @@
   std::optional<TimePoint> mRetryAt;
 };
 
+// Whether the reply says that nothing of the batch was sent to a database.
+inline bool IsUnsent(const ConnectionReply& aReply)
+{
+  return aReply.mRetryAt.has_value();
+}
+
 // A prepared statement, identified by its content rather than its name.
 struct PreparedStatement
 {
@@ -173,13 +179,6 @@
 class SharedConnectionState
 {
 public:
-  // Names of prepared statements on the connection.
-  using PreparedNames = std::map<PreparedStatement, std::string>;
-
-  SharedConnectionState() = default;
-  // The state of a connection that another daemon has used.
-  SharedConnectionState(SessionValues aValues, PreparedNames aPrepared);
-
   // Returns the commands that replace the connection's values by the session's. The new
   // values are recorded at once, so a connection on which one of the commands fails
   // must be closed.
@@ -196,15 +195,13 @@
   std::size_t SyncCost(const SessionValues& aValues) const;
   // What is set on the connection is no longer known, so the next SyncValues resets it.
   void SetUnknown() { mIsUnknown = true; }
-  bool IsUnknown() const { return mIsUnknown; }
-  const SessionValues& Values() const { return mValues; }
-  const PreparedNames& Prepared() const { return mPrepared; }
 
 private:
   bool HasExtraValue(const SessionValues& aValues) const;
 
   SessionValues mValues;
-  PreparedNames mPrepared;
+  // Names of prepared statements on the connection.
+  std::map<PreparedStatement, std::string> mPrepared;
   std::uint64_t mNextName = 1;
   bool mIsUnknown = false;
 };
--- a/src/core/LentSession.cpp
+++ b/src/core/LentSession.cpp
@@ -102,7 +102,7 @@
   std::vector<ConnectionReply> aReplies,
   SharedConnectionState& aState)
 {
-  if (aReplies.empty() || aReplies.back().mRetryAt) {
+  if (aReplies.empty() || IsUnsent(aReplies.back())) {
     // Nothing was sent, also none of the values that the state counts on.
     aState.SetUnknown();
     return aReplies;
--- a/src/core/SharedConnection.cpp
+++ b/src/core/SharedConnection.cpp
@@ -1,7 +1,6 @@
 #include "sesameway/SharedConnection.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace sesameway {
@@ -13,22 +12,6 @@
 
 } // namespace
 
-// Names are a letter and a number; those that this daemon adds follow the highest one.
-SharedConnectionState::SharedConnectionState(SessionValues aValues,
-                                             PreparedNames aPrepared)
-  : mValues(std::move(aValues))
-  , mPrepared(std::move(aPrepared))
-{
-  for (const auto& it : mPrepared) {
-    std::uint64_t number = 0;
-    const auto& name = it.second;
-    if (!name.empty()) {
-      std::from_chars(name.data() + 1, name.data() + name.size(), number);
-    }
-    mNextName = std::max(mNextName, number + 1);
-  }
-}
-
 // A single value cannot be unset, so a connection with a value that the session has not
 // set is reset, which also drops its prepared statements.
 std::vector<ConnectionCommand> SharedConnectionState::SyncValues(
--- a/src/peer/ConvertLink.cpp
+++ b/src/peer/ConvertLink.cpp
@@ -239,7 +239,7 @@
 // Whether a whole batch was refused before it was sent to the database.
 bool IsUnsent(const std::vector<ConnectionReply>& aReplies)
 {
-  return aReplies.size() == 1 && aReplies.front().mRetryAt;
+  return aReplies.size() == 1 && IsUnsent(aReplies.front());
 }
 
 Readable<void> CheckReplies(const std::vector<ConnectionReply>& aReplies)
--- a/src/peer/Link.h
+++ b/src/peer/Link.h
@@ -23,6 +23,11 @@
   Duration mExpectedWait{};
 };
 
+// The way of a statement: the session at the borrower sends its batch on a BorrowedLink
+// (proxy), which asks the home by Peers::OpenLink or sends on a LentLink. At the home a
+// Loan (proxy) passes the batch to the DatabaseLink of the leased connection, which
+// waits in the database's queue for a slot.
+//
 // A connection to a database that its home lends to another daemon. Dropping the object
 // without Return closes the connection, which rolls back its transaction.
 //
--- a/src/proxy/CallerOutcome.cpp
+++ b/src/proxy/CallerOutcome.cpp
@@ -34,7 +34,7 @@
     OnDone(std::move(aReply));
     return;
   }
-  if (aReply.mRetryAt) {
+  if (IsUnsent(aReply)) {
     OnOverload(aReply);
     return;
   }
--- a/src/proxy/CallerSend.cpp
+++ b/src/proxy/CallerSend.cpp
@@ -223,7 +223,7 @@
     return aIt.mCode == ReplyCode::Done;
   });
   mBackend.OnReply(*mLease, reply, mAttempt ? mAttempt->mSentAt : TimePoint{});
-  if (reply.mRetryAt) {
+  if (IsUnsent(reply)) {
     // Nothing of the batch was sent, also no value of the session.
     mLease->mConnectionState->SetUnknown();
   }
--- a/src/proxy/DatabaseFleet.cpp
+++ b/src/proxy/DatabaseFleet.cpp
@@ -240,7 +240,7 @@
                             const ConnectionReply& aReply,
                             TimePoint aSentAt)
 {
-  if (aReply.mRetryAt) {
+  if (IsUnsent(aReply)) {
     return;
   }
   if (auto pool = aLease.mPool.lock()) {
--- a/src/proxy/DatabasePool.cpp
+++ b/src/proxy/DatabasePool.cpp
@@ -157,7 +157,7 @@
 
 void DatabasePool::OnReply(const ConnectionReply& aReply, TimePoint aSentAt)
 {
-  if (aReply.mCode == ReplyCode::Lost || aReply.mRetryAt) {
+  if (aReply.mCode == ReplyCode::Lost || IsUnsent(aReply)) {
     return;
   }
   OnAnswered(aSentAt);
@@ -326,6 +326,8 @@
   }
 }
 
+// Those who lease the connection and do not watch it themselves, such as status
+// commands, rely on this callback while they hold it.
 void DatabasePool::WatchIdle(std::uint64_t aConnection)
 {
   auto it = mConnections.find(aConnection);
@@ -413,7 +415,7 @@
       auto& reply = aReplies.back();
       self->OnReply(reply, sentAt);
       bool isLost = reply.mCode == ReplyCode::Lost;
-      bool isUnsent = reply.mRetryAt.has_value();
+      bool isUnsent = IsUnsent(reply);
       self->Release(aLease, isLost);
       done(isLost || isUnsent ? std::nullopt : std::optional(std::move(reply)));
     };
--- a/src/proxy/LinkBorrower.cpp
+++ b/src/proxy/LinkBorrower.cpp
@@ -79,14 +79,14 @@
     mSentCount = mCommands.size();
     mRefused.clear();
     mIsUnreachable = false;
-    mSentAt = Clock::now();
+    mAskedAt = Clock::now();
     if (mDirect) {
       SendDirect();
     } else if (mLent) {
       SendLent();
     } else if (EndsTransaction(mCommands)) {
       // The transaction ended with its connection.
-      Finish(NotSent("connection_lost", mSentAt));
+      Finish(NotSent("connection_lost", mAskedAt));
     } else {
       mCommands = mSession.WithSetUp(mCommands);
       mSentCount = mCommands.size();
@@ -102,8 +102,8 @@
   void Close() override
   {
     auto self = shared_from_this();
-    if (mDone && !mHome.empty() && Clock::now() - mSentAt >= kSilenceLimit) {
-      mBorrower.OnNotHeard(mHome, mSentAt);
+    if (mDone && !mHome.empty() && Clock::now() - mAskedAt >= kSilenceLimit) {
+      mBorrower.OnNotHeard(mHome, mAskedAt);
     }
     ++mBatch;
     mLent.reset();
@@ -152,27 +152,27 @@
       mTarget.mDatabase, mTarget.mGroup, mTarget.mOrganisation, WireTerms(), {}
     };
     auto deadline = now + kHomeTimeout;
-    bool isWhole = !IsSingleWrite(mCommands);
-    if (isWhole) {
+    bool isWithRequest = !IsSingleWrite(mCommands);
+    if (isWithRequest) {
       request.mCommands = mCommands;
       deadline = mTerms.mDeadline == TimePoint::max()
                    ? now + kDirectOpenTimeout
                    : mTerms.mDeadline + kAnswerAllowance;
     }
     auto& loop = mBorrower.mLoop;
-    auto onOffer = [self = shared_from_this(), &loop, batch = mBatch, isWhole](
+    auto onOffer = [self = shared_from_this(), &loop, batch = mBatch, isWithRequest](
                      std::optional<peer::LinkOffer> aOffer) {
-      loop.Post([self, batch, isWhole, offer = std::move(aOffer)]() mutable {
-        self->OnOffer(batch, isWhole, std::move(offer));
+      loop.Post([self, batch, isWithRequest, offer = std::move(aOffer)]() mutable {
+        self->OnOffer(batch, isWithRequest, std::move(offer));
       });
     };
-    mSentAt = now;
+    mAskedAt = now;
     mBorrower.mPeers->OpenLink(
       mBorrower.mAddresses[mHome], std::move(request), deadline, std::move(onOffer));
   }
 
   void OnOffer(std::uint64_t aBatch,
-               bool aIsWhole,
+               bool aIsWithRequest,
                std::optional<peer::LinkOffer> aOffer)
   {
     if (aBatch != mBatch || !mDone) {
@@ -180,13 +180,14 @@
     }
     if (!aOffer) {
       mBorrower.mCount("homes.no_answer");
-      mBorrower.OnNotHeard(mHome, mSentAt);
+      mBorrower.OnNotHeard(mHome, mAskedAt);
       mRefused.insert(mHome);
       if (Clock::now() < WireTerms().mDeadline) {
         AskNextHome();
       } else {
-        Finish(aIsWhole ? std::vector<ConnectionReply>{}
-                        : NotSent("no_answer_of_home", Clock::now() + kRetryPause));
+        Finish(aIsWithRequest
+                 ? std::vector<ConnectionReply>{}
+                 : NotSent("no_answer_of_home", Clock::now() + kRetryPause));
       }
       return;
     }
@@ -197,7 +198,7 @@
     }
     mBorrower.mCount("homes.borrowed");
     mLent = std::move(aOffer->mLink);
-    if (aIsWhole) {
+    if (aIsWithRequest) {
       OnReplies(aBatch, { std::move(aOffer->mReplies), aOffer->mExpectedWait });
     } else if (mLent) {
       SendLent();
@@ -320,7 +321,7 @@
     if (!mDone) {
       return;
     }
-    bool isUnsent = aReplies.size() == 1 && aReplies.front().mRetryAt;
+    bool isUnsent = aReplies.size() == 1 && IsUnsent(aReplies.front());
     if (!isUnsent) {
       aReplies = Expand(std::move(aReplies));
     }
@@ -358,7 +359,7 @@
   bool mIsUnreachable = false;
   // Tells replies to the current batch from those to one that was given up.
   std::uint64_t mBatch = 0;
-  TimePoint mSentAt{};
+  TimePoint mAskedAt{};
   std::vector<ConnectionCommand> mCommands;
   // Commands that the session sent, and those that were sent for them.
   std::size_t mExpected = 0;
--- a/src/proxy/LinkLender.cpp
+++ b/src/proxy/LinkLender.cpp
@@ -137,7 +137,7 @@
       aReplies.emplace_back();
     }
     const auto& last = aReplies.back();
-    if (!last.mRetryAt) {
+    if (!IsUnsent(last)) {
       pool->OnReply(last, sentAt);
       pool->OnResult(last.mCode);
     }
@@ -159,8 +159,7 @@
   // only outside of one.
   bool IsClean(const ConnectionReply& aLast)
   {
-    bool isSent = !aLast.mRetryAt;
-    if (isSent) {
+    if (!IsUnsent(aLast)) {
       mIsInTransaction = aLast.mTransaction != TransactionState::None;
     }
     return !mIsInTransaction && aLast.mCode != ReplyCode::Lost &&
