A database that its first home can't reach is served by the other one, or directly

Change: a home refuses every request while its database is silent, and asks it for its status each second, so that it learns of the end.

--- a/src/proxy/DatabaseFleet.h
+++ b/src/proxy/DatabaseFleet.h
@@ -272,6 +272,10 @@
   // As second home of primaries, asks them for their status, so that a fault of the
   // first home is told from a fault of the database.
   void CheckPrimaries(TimePoint aNow);
+  // Also as a home of any database, asks one that has left statements unanswered.
+  bool MustCheck(const std::string& aDatabase,
+                 const DatabasePool& aPool,
+                 TimePoint aNow) const;
   // Bounds what this daemon starts, as a home, at cold databases.
   void ApplyColdRates(TimePoint aNow);
   Duration ExpectedWaitAt(const DatabasePool& aPool,
--- a/src/proxy/FleetHomes.cpp
+++ b/src/proxy/FleetHomes.cpp
@@ -176,10 +176,7 @@
   ConnectionCommand status;
   status.mKind = CommandKind::Status;
   for (const auto& it : mHomePools) {
-    const auto* leadership =
-      it.second ? FindLeadership(it.second->Listed().mGroup) : nullptr;
-    bool isPrimary = leadership != nullptr && leadership->Record().mPrimary == it.first;
-    if (isPrimary && mHomeRoles[it.first] == HomeRole::SecondHome) {
+    if (it.second && MustCheck(it.first, *it.second, aNow)) {
       it.second->Ask(
         status, aNow + kPrimaryCheckTimeout, [](const std::optional<ConnectionReply>&) {
           // The pool notes that the database has answered.
@@ -188,6 +185,21 @@
   }
 }
 
+// A home lends no connection to a silent database, so it would not learn that the
+// database answers again.
+bool DatabaseFleet::MustCheck(const std::string& aDatabase,
+                              const DatabasePool& aPool,
+                              TimePoint aNow) const
+{
+  const auto* leadership = FindLeadership(aPool.Listed().mGroup);
+  bool isPrimary = leadership != nullptr && leadership->Record().mPrimary == aDatabase;
+  auto role = mHomeRoles.find(aDatabase);
+  bool isSecond = role != mHomeRoles.end() && role->second == HomeRole::SecondHome;
+  auto silence = aPool.Silence(aNow);
+  bool isSilent = silence && *silence > kPrimaryCheckTimeout;
+  return (isPrimary && isSecond) || isSilent;
+}
+
 void DatabaseFleet::ApplyColdRates(TimePoint aNow)
 {
   for (const auto& it : mHomePools) {
--- a/src/proxy/LinkBorrower.cpp
+++ b/src/proxy/LinkBorrower.cpp
@@ -22,7 +22,7 @@
 // A home that has answered nothing for this long when its caller gives up may be gone.
 constexpr Duration kSilenceLimit = milliseconds(400);
 constexpr Duration kEndTimeout = seconds(1);
-constexpr Duration kDirectOpenTimeout = milliseconds(1500);
+constexpr Duration kDirectOpenTimeout = milliseconds(400);
 // When a statement is to come back that no home and no connection of this daemon could
 // take.
 constexpr Duration kRetryPause = milliseconds(250);
@@ -156,7 +156,7 @@
     if (isWithRequest) {
       request.mCommands = mCommands;
       deadline = mTerms.mDeadline == TimePoint::max()
-                   ? now + kDirectOpenTimeout
+                   ? now + kEndTimeout
                    : mTerms.mDeadline + kAnswerAllowance;
     }
     auto& loop = mBorrower.mLoop;
@@ -232,16 +232,15 @@
     AskNextHome();
   }
 
-  // A home that can't reach the database is as near to it as can be, so this daemon
-  // does not try itself.
+  // The homes may be cut off from the database while this daemon is not. After an
+  // attempt in vain it is left alone for a while.
   void OnNoHome()
   {
     auto now = Clock::now();
     mHome.clear();
     auto& borrowing = mBorrower.BorrowingOf(mTarget.mDatabase);
-    if (std::exchange(mIsUnreachable, false)) {
-      borrowing.mUnreachableUntil = now + kUnreachableTime;
-      Finish(NotSent("unreachable", now + kRetryPause));
+    if (mIsUnreachable && now < borrowing.mUnreachableUntil) {
+      Finish(NotSent("unreachable", borrowing.mUnreachableUntil));
     } else if (!borrowing.mDirect.expired()) {
       Finish(NotSent("no_home", now + kRetryPause));
     } else {
@@ -253,23 +252,31 @@
   {
     mBorrower.mCount("homes.direct");
     mBorrower.BorrowingOf(mTarget.mDatabase).mDirect = weak_from_this();
-    mBorrower.mDirect.Open(
-      mTarget,
-      Clock::now() + kDirectOpenTimeout,
-      [self = shared_from_this(), batch = mBatch](auto aLink) {
-        bool isWanted = batch == self->mBatch && self->mDone;
-        if (aLink && isWanted) {
-          self->mDirect = *aLink;
-          self->SendDirect();
-          return;
-        }
-        self->mBorrower.BorrowingOf(self->mTarget.mDatabase).mDirect.reset();
-        if (aLink) {
-          (*aLink)->Close();
-        } else if (isWanted) {
-          self->Finish(NotSent("unreachable", Clock::now() + kRetryPause));
-        }
-      });
+    mBorrower.mDirect.Open(mTarget,
+                           Clock::now() + kDirectOpenTimeout,
+                           [self = shared_from_this(), batch = mBatch](auto aLink) {
+                             self->OnDirect(batch, std::move(aLink));
+                           });
+  }
+
+  void OnDirect(std::uint64_t aBatch, tl::expected<DatabaseLinkPtr, ReplyCode> aLink)
+  {
+    bool isWanted = aBatch == mBatch && mDone;
+    if (aLink && isWanted) {
+      mDirect = *aLink;
+      SendDirect();
+      return;
+    }
+    auto& borrowing = mBorrower.BorrowingOf(mTarget.mDatabase);
+    borrowing.mDirect.reset();
+    if (aLink) {
+      (*aLink)->Close();
+      return;
+    }
+    borrowing.mUnreachableUntil = Clock::now() + kUnreachableTime;
+    if (isWanted) {
+      Finish(NotSent("unreachable", borrowing.mUnreachableUntil));
+    }
   }
 
   void SendDirect()
--- a/src/proxy/LinkLender.cpp
+++ b/src/proxy/LinkLender.cpp
@@ -18,8 +18,9 @@
 constexpr Duration kLongestBatch = seconds(60);
 // Tickets of statements and of a pool's own commands are below and above these.
 constexpr std::uint64_t kFirstTicket = std::uint64_t{ 1 } << 61;
-// A database that has left all statements unanswered for this long may be gone, so
-// reads go elsewhere meanwhile. Statements that need a primary have no other database.
+// A database that has left all statements unanswered for this long may be gone, or this
+// home may be cut off from it. The other home, or another database, may serve
+// meanwhile.
 constexpr Duration kSilenceLimit = milliseconds(500);
 
 bool IsSilent(const DatabasePool& aPool, TimePoint aNow)
@@ -28,13 +29,6 @@
   return silence && *silence >= kSilenceLimit;
 }
 
-bool MayRunElsewhere(const DatabasePool& aPool,
-                     const std::vector<ConnectionCommand>& aCommands)
-{
-  bool isReplica = aPool.Listed().mRole == DatabaseRole::Replica;
-  return isReplica || (!aCommands.empty() && IsRead(aCommands.back().mKind));
-}
-
 } // namespace
 
 // A connection while it is lent. The connection goes back to its pool with the batch
@@ -235,8 +229,7 @@
     Refuse(peer::LinkRefusal::Leaving, now, {}, aDone);
     return;
   }
-  bool isSilent = IsSilent(*pool, now) && MayRunElsewhere(*pool, aRequest.mCommands);
-  if (pool->IsSuspect(now) || isSilent) {
+  if (pool->IsSuspect(now) || IsSilent(*pool, now)) {
     Refuse(peer::LinkRefusal::Unreachable, now + kRetryPause, {}, aDone);
     return;
   }
