--- a/src/proxy/DatabaseQueue.cpp
+++ b/src/proxy/DatabaseQueue.cpp
@@ -167,8 +167,7 @@
                              std::string aDatabase,
                              std::size_t aSlots,
                              Counter aCount)
-  : mLoop(aLoop)
-  , mDatabase(std::move(aDatabase))
+  : mDatabase(std::move(aDatabase))
   , mCount(std::move(aCount))
   , mQueue(1)
   , mLimit(aSlots)
--- a/src/proxy/DatabaseQueue.h
+++ b/src/proxy/DatabaseQueue.h
@@ -74,7 +74,6 @@
   void LogLimit(std::string_view aCause, TimePoint aNow);
   void SetTick();
 
-  Loop& mLoop;
   std::string mDatabase;
   Counter mCount;
   StatementQueue mQueue;
