--- a/src/proxy/ProxyStore.cpp
+++ b/src/proxy/ProxyStore.cpp
@@ -40,7 +40,8 @@
     mFleet.SetContact(aContact);
   }
   auto generation = GenerationOf(mSync.OwnRevision());
-  mMetrics.Count("store.returns", generation - mGeneration.value_or(generation));
+  auto returns = generation - mGeneration.value_or(generation);
+  mMetrics.Count("store.returns", static_cast<std::int64_t>(returns));
   mGeneration = generation;
 }
 
