One function makes the reply to a batch that was not sent

DatabaseQueue, LinkLender and LinkBorrower each had one of their own; UnsentReply stands beside OwnReply and serves the three.

--- a/src/proxy/DatabaseQueue.cpp
+++ b/src/proxy/DatabaseQueue.cpp
@@ -1,6 +1,7 @@
 #include "proxy/DatabaseQueue.h"
 
 #include "daemon/Log.h"
+#include "proxy/Replies.h"
 
 #include <algorithm>
 #include <utility>
@@ -63,16 +64,6 @@
   }
 }
 
-// A reply to a batch of which nothing was sent.
-ConnectionReply NotSent(ReplyCode aCode, const std::string& aReason, TimePoint aRetryAt)
-{
-  ConnectionReply reply;
-  reply.mCode = aCode;
-  reply.mDetail = aReason;
-  reply.mRetryAt = aRetryAt;
-  return reply;
-}
-
 // A connection whose batches wait in the queue for a slot.
 class QueuedLink
   : public DatabaseLink
@@ -137,7 +128,7 @@
 
   void EndUnsent()
   {
-    std::vector<ConnectionReply> replies{ NotSent(
+    std::vector<ConnectionReply> replies{ UnsentReply(
       ReplyCode::Aborted, "connection_closed", Clock::now()) };
     std::exchange(mDone, nullptr)(std::move(replies));
   }
@@ -272,7 +263,7 @@
   std::string reason = "queue_";
   reason += kQueueRefusalNames.Name(aRefuse.mReason);
   mCount(reason);
-  std::vector<ConnectionReply> replies{ NotSent(
+  std::vector<ConnectionReply> replies{ UnsentReply(
     ReplyCode::Busy, reason, aRefuse.mRetryAt) };
   node.mapped().mDone(std::move(replies));
 }
--- a/src/proxy/LinkBorrower.cpp
+++ b/src/proxy/LinkBorrower.cpp
@@ -1,6 +1,6 @@
 #include "proxy/LinkBorrower.h"
 
-#include "daemon/Log.h"
+#include "proxy/Replies.h"
 #include "sesameway/LentSession.h"
 
 #include <algorithm>
@@ -40,14 +40,10 @@
   return kind == CommandKind::Commit || kind == CommandKind::Rollback;
 }
 
-// A reply to a batch of which nothing was sent.
+// The replies to a batch of which nothing was sent.
 std::vector<ConnectionReply> NotSent(const std::string& aReason, TimePoint aRetryAt)
 {
-  ConnectionReply reply;
-  reply.mCode = ReplyCode::Busy;
-  reply.mDetail = aReason;
-  reply.mRetryAt = aRetryAt;
-  return { reply };
+  return { UnsentReply(ReplyCode::Busy, aReason, aRetryAt) };
 }
 
 } // namespace
--- a/src/proxy/LinkLender.cpp
+++ b/src/proxy/LinkLender.cpp
@@ -1,5 +1,6 @@
 #include "proxy/LinkLender.h"
 
+#include "proxy/Replies.h"
 #include "sesameway/LentSession.h"
 
 #include <algorithm>
@@ -53,11 +54,11 @@
   {
     mUsedAt = Clock::now();
     if (!mLease) {
-      aDone({ { NotSent(ReplyCode::Aborted, "link_taken_back") }, {} });
+      aDone({ { UnsentReply(ReplyCode::Aborted, "link_taken_back", mUsedAt) }, {} });
       return;
     }
     if (!LentSession::IsBatch(aCommands)) {
-      aDone({ { NotSent(ReplyCode::Malformed, "batch") }, {} });
+      aDone({ { UnsentReply(ReplyCode::Malformed, "batch", mUsedAt) }, {} });
       return;
     }
     mIsBusy = true;
@@ -98,15 +99,6 @@
   }
 
 private:
-  static ConnectionReply NotSent(ReplyCode aCode, const char* aReason)
-  {
-    ConnectionReply reply;
-    reply.mCode = aCode;
-    reply.mDetail = aReason;
-    reply.mRetryAt = Clock::now();
-    return reply;
-  }
-
   // The borrower gives up at the deadline, which the home may not learn: a database
   // that never answers would keep the slot.
   void SetGiveUp(const StatementTerms& aTerms)
--- a/src/proxy/Replies.cpp
+++ b/src/proxy/Replies.cpp
@@ -1,6 +1,7 @@
 #include "proxy/Replies.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sesameway::proxy {
 
@@ -13,6 +14,13 @@
   return reply;
 }
 
+ConnectionReply UnsentReply(ReplyCode aCode, std::string aDetail, TimePoint aRetryAt)
+{
+  auto reply = OwnReply(aCode, std::move(aDetail), TransactionState::None);
+  reply.mRetryAt = aRetryAt;
+  return reply;
+}
+
 std::string RetryText(const std::string& aReason, TimePoint aRetryAt, TimePoint aNow)
 {
   auto wait = std::max(aRetryAt - aNow, Duration::zero());
