Review: an entry that lacks fields makes a foreign server the primary

The case, now the first: one entry of another writer with a service, an address and a state only. The server at its address, a test copy of the service, leads a later term. The coordinator takes it for the new primary and demotes the real one: reads on the primary route run on a log that lacks acknowledged commits (rule STALE).

The records of all cases now hold what the databases ran.

--- a/review/standin/Case.h
+++ b/review/standin/Case.h
@@ -92,6 +92,30 @@
   }
 };
 
+// Adds the reads, writes and commits that the databases ran to the record.
+inline void NoteRuns(Service& aService)
+{
+  for (const auto& it : aService.Runs()) {
+    std::string values;
+    for (const auto& value : it.mValues) {
+      values += ' ' + value.first + '=' + value.second;
+    }
+    Note("run at ",
+         static_cast<double>(it.mAt) / 1000,
+         " s: ",
+         it.mDatabase,
+         " connection ",
+         it.mConnection,
+         " tenant ",
+         it.mTenant,
+         it.mIsInTransaction ? " in a transaction: " : ": ",
+         it.mId,
+         ' ',
+         it.mText,
+         values.empty() ? "" : ", values" + values);
+  }
+}
+
 // Runs a case: argv is the folder of the record, the folder for logs and the program.
 inline int RunCase(int aCount,
                    char** aArguments,
--- a/review/standin/Databases.h
+++ b/review/standin/Databases.h
@@ -148,6 +148,20 @@
     }
   }
 
+  // A database with a history of its own: `aCount` commits of this term.
+  void SetHistory(const std::string& aName, std::uint64_t aTerm, std::size_t aCount)
+  {
+    std::lock_guard lock(mMutex);
+    auto& database = Find(aName);
+    database.mTerm = aTerm;
+    database.mLog.clear();
+    for (std::size_t n = 0; n < aCount; ++n) {
+      auto commit = std::make_shared<Commit>();
+      commit->mTerm = aTerm;
+      database.mLog.push_back(commit);
+    }
+  }
+
   // Planned: the database reports drain. Its return is the store's acknowledgement.
   void Drain(const std::string& aName)
   {
@@ -321,14 +335,14 @@
         std::thread([this, old = it.get()] {
           SleepMs(1000);
           std::lock_guard lock(mMutex);
-          Demote(*old);
+          Demote(*old, NewestTerm());
         }).detach();
       }
     }
   }
-  void Demote(Database& aDatabase)
+  void Demote(Database& aDatabase, std::uint64_t aTerm)
   {
-    if (aDatabase.mIsPrimary && aDatabase.mTerm < NewestTerm()) {
+    if (aDatabase.mIsPrimary && aDatabase.mTerm < aTerm) {
       aDatabase.mIsPrimary = false;
       Note("databases: ", aDatabase.mName, " becomes a replica");
       CatchUp(aDatabase);
@@ -524,7 +538,7 @@
     aConnection.mPrepared.clear();
   } else if (verb == "STATUS" || verb == "DEMOTE") {
     if (verb == "DEMOTE") {
-      mService.Demote(*this);
+      mService.Demote(*this, std::strtoull(rest.c_str(), nullptr, 10));
     }
     row = Status();
   } else {
