--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,98 +1,99 @@
-// One entry of another writer that can't be read, and a restart of all machines.
+// Acknowledged commits after a primary's crash, where commits wait for one replica.
 #include "../standin/Case.h"
 
 using namespace review;
 
 namespace {
 
-constexpr long kRecoveryMs = 12000;
-constexpr int kRequests = 30;
-
-// How the store's JSON shows the field that can't be read. FORM picks another one.
-std::string FieldText()
-{
-  const char* form = std::getenv("FORM");
-  std::string name = form != nullptr ? form : "escape";
-  if (name == "number") {
-    // A number that no double holds.
-    return "1e999";
-  }
-  if (name == "raw") {
-    return "\"\xff\"";
-  }
-  // A byte that is no text, in the escaped form that keeps the body plain ASCII.
-  return "\"\\udcff\"";
-}
-
-// Sends single reads and writes to all machines in turn and returns how many are
-// served.
-int CountServed(Deployment& aDeployment)
-{
-  int served = 0;
-  for (int n = 0; n < kRequests; ++n) {
-    auto& machines = aDeployment.mFleet.Machines();
-    Client client(std::to_string(n));
-    bool isOpen = client.Connect(
-      machines[n % machines.size()].Front(), "booking-commit", "u6wsjnbanfqasnmgkcuy");
-    if (isOpen && client.Query(n % 2 == 0 ? "WRITE 1a4 x" : "READ 1a4").IsDone()) {
-      ++served;
-    }
-    client.Close();
-    SleepMs(50);
-  }
-  return served;
-}
-
 Verdict Play(const std::string& aProgram, const std::string& aFolder, bool aHasTrouble)
 {
+  constexpr const char* kPrimary = "i-7f3a91c2";
+  constexpr const char* kLeaving = "i-20bd6e10";
+  constexpr const char* kDeaf = "i-c94401fa";
+  ServiceOptions options;
+  options.mSyncReplicas = 1;
   // Never destroyed: other threads use it until the process ends.
-  auto& deployment = *new Deployment(aProgram, aFolder);
-  auto& store = deployment.mStore;
-  auto& fleet = deployment.mFleet;
-  store.mRawMarker = "\"NOT-READABLE\"";
-  store.mRawText = FieldText();
+  auto& deployment = *new Deployment(aProgram, aFolder, options);
   Configuration configuration;
+  configuration.mSyncReplicas = 1;
   if (!deployment.Start(configuration)) {
-    fleet.EndAll();
+    deployment.mFleet.EndAll();
     return Verdict::NotRun;
   }
-  auto before = CountServed(deployment);
-  // Another writer's entry of a thing that is no database. Without trouble its fields
-  // can be read.
-  store.Put("servers",
-            "backup-7",
-            { { "service", aHasTrouble ? "NOT-READABLE" : "backup" },
-              { "owner", "night-job" } });
-  Note("another writer's entry is at servers/backup-7, its field \"service\" is ",
-       aHasTrouble ? FieldText() : "\"backup\"");
-  SleepMs(2000);
-  // The final fault: all processes are killed, and start again.
-  for (auto& it : fleet.Machines()) {
-    fleet.Signal(it, SIGKILL, "SIGKILL");
-    fleet.WaitForEnd(it, 2000);
+  auto& service = deployment.mService;
+  // Three clients write, each at a machine of its own.
+  std::atomic<bool> isOver{ false };
+  std::mutex mutex;
+  std::set<std::string> acknowledged;
+  std::vector<std::thread> threads;
+  for (std::size_t n = 0; n < 3; ++n) {
+    threads.emplace_back([&, n] {
+      auto address = deployment.mFleet.Machines()[n].Front();
+      for (int count = 0; !isOver;) {
+        Client client(std::to_string(n + 1));
+        bool isOpen = client.Connect(address, "booking-commit", "u6wsjnbanfqasnmgkcuy");
+        while (isOpen && !isOver) {
+          auto reply = client.Query("WRITE a" + std::to_string(n) + " v" +
+                                    std::to_string(count++));
+          isOpen = !reply.mIsClosed;
+          if (reply.IsDone()) {
+            std::lock_guard lock(mutex);
+            acknowledged.insert(client.LastId());
+          }
+          SleepMs(200);
+        }
+        client.Close();
+        SleepMs(200);
+      }
+    });
   }
   SleepMs(1000);
-  fleet.StartAll();
-  SleepMs(kRecoveryMs);
-  Note("recoveryS have passed since the machines are back");
-  auto after = CountServed(deployment);
-  for (auto& it : fleet.Machines()) {
-    Note("machine ", it.mName, fleet.IsReady(it) ? ": ready" : ": not ready");
+  service.Drain(kLeaving);
+  if (aHasTrouble) {
+    SleepMs(500);
+    service.SetDeaf(kDeaf, true);
+    SleepMs(1500);
+    service.Crash(kPrimary);
+    SleepMs(3600);
+    service.RemoveEntry(kPrimary);
+    SleepMs(900);
+    // The replica receives again before the length of the disruption, 7 s, has passed.
+    service.SetDeaf(kDeaf, false);
+    auto until = NowMs() + 12000;
+    while (service.Term() < 2 && NowMs() < until) {
+      SleepMs(50);
+    }
+    SleepMs(1500);
+  } else {
+    SleepMs(6000);
   }
-  fleet.EndAll();
-  NoteRuns(deployment.mService);
-  Note("served before the fault: ",
-       before,
-       " of ",
-       kRequests,
-       ", after recoveryS: ",
-       after,
-       " of ",
-       kRequests);
-  if (before * 4 < kRequests) {
-    return Verdict::NotRun;
+  isOver = true;
+  for (auto& it : threads) {
+    it.join();
+  }
+  deployment.mFleet.EndAll();
+  NoteRuns(service);
+  auto primary = service.Primary();
+  Note("the primary is now ",
+       primary.empty() ? "none" : primary,
+       ", term ",
+       service.Term());
+  if (primary.empty() || acknowledged.empty()) {
+    return primary.empty() && aHasTrouble ? Verdict::Held : Verdict::NotRun;
+  }
+  auto kept = service.Kept(primary);
+  std::size_t lost = 0;
+  for (const auto& it : acknowledged) {
+    if (kept.count(it) == 0) {
+      Note("LOST: the commit of ",
+           it,
+           " was acknowledged and isn't in the log of ",
+           primary);
+      ++lost;
+    }
   }
-  return after * 4 < kRequests ? Verdict::Broken : Verdict::Held;
+  Note(acknowledged.size(), " commits acknowledged, ", lost, " of them lost");
+  return lost > 0 ? Verdict::Broken : Verdict::Held;
 }
 
 } // namespace
--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec "$(dirname "$0")/../run-case" 5
