No promotion loses an acknowledged commit where commits wait for replicas

Cause: the choice of a new primary left out databases before it compared logs: those that leave, those in an evacuated zone, those that had not answered for 400 ms, and those that the platform had just refused; a planned change gave up on a replica that was behind after 1.5 s. With syncReplicas each of them may be the only one that holds an acknowledged commit. syncReplicas was read nowhere.

Evidence: nothing in the coordinator's log told them apart, so order_promotion now lists what each database has reported and which ones leave, and promotion_waits says for what a group without a primary waits. A test for each way, and for a coordinator that has just taken over (no configuration yet, list not complete): with the former choice all nine new cases of PromotionTest fail.

Change: PromotionTarget makes the choice for all paths. With syncReplicas k a target's log reaches the old primary's end, or the bound that follows from the reports of all but fewer than k databases: an acknowledged commit is in k logs, so it doesn't lie beyond the k-th longest (less those that are silent). A database that stays is preferred; one that leaves or is evacuated takes over if it alone reaches the bound, and hands over once another one has caught up. A database counts until its entry is gone. An unknown syncReplicas counts as 1. Groups with syncReplicas 0 choose as before.

sesamed was looked at and not changed: it compares the logs of a fenced majority and takes a database that leaves if only that one holds the longest log.

--- a/include/sesameway/Catalogue.h
+++ b/include/sesameway/Catalogue.h
@@ -43,6 +43,9 @@
   // Statements per second, over the whole fleet, that a database of the group may get
   // while it is cold; 0 means no bound.
   double mColdPerS = 0;
+  // How many replicas have received a commit before it is acknowledged; 0 means that
+  // commits wait for none.
+  std::uint32_t mSyncReplicas = 0;
 };
 
 struct Service
--- a/include/sesameway/Promotion.h
+++ b/include/sesameway/Promotion.h
@@ -2,6 +2,7 @@
 
 #include "sesameway/DatabaseList.h"
 #include "sesameway/Leadership.h"
+#include "sesameway/PromotionTarget.h"
 #include "sesameway/Token.h"
 
 #include <cstdint>
@@ -36,8 +37,10 @@
 // conditional write still in flight from its predecessor can succeed afterwards. An
 // unanswered order may take effect late. It is therefore repeated to the same database;
 // another database is chosen only after a refusal and once no earlier order can still
-// take effect. While the primary serves, the other databases are polled until each is
-// known to follow it, and former primaries are demoted.
+// take effect. Where commits wait for replicas, no database is promoted that may lack
+// an acknowledged commit while one that may hold it is listed. While the primary
+// serves, the other databases are polled until each is known to follow it, and former
+// primaries are demoted.
 class PromotionPlan
 {
 public:
@@ -69,6 +72,9 @@
   struct OrderPromotion
   {
     std::string mDatabase;
+    // For the log: the last log position that each listed database has reported, as
+    // "database@term.number", and ":leaving" behind one that leaves.
+    std::vector<std::string> mReports;
     // For the log: how many daemons have stood down, and the names of those whose
     // contact has expired instead.
     std::size_t mStoodDown = 0;
@@ -116,8 +122,11 @@
     std::uint64_t mFence = 0;
     std::string mSelf;
     // Databases of these zones are not used: their primaries are replaced, and none of
-    // them becomes primary.
+    // them becomes primary, unless it alone holds acknowledged commits.
     std::set<std::string> mEvacuatedZones;
+    // How many replicas have received a commit of the group before it is acknowledged;
+    // none if the configuration in force doesn't say.
+    std::optional<std::uint32_t> mSyncReplicas;
     bool IsEvacuated(const ListedDatabase& aDatabase) const
     {
       return mEvacuatedZones.contains(aDatabase.mZone);
@@ -157,6 +166,9 @@
   void OnOrdered(std::optional<bool> aIsTaken, TimePoint aNow);
   // Why the current change of primary was started.
   Cause ChangeCause() const { return mCause; }
+  // Why the last Step ordered no promotion although no daemon used the old primary;
+  // None if there was no such reason.
+  PromotionWait Wait() const { return mWait; }
 
 private:
   struct DatabaseInfo
@@ -206,12 +218,16 @@
                   const ClusterState& aClusterState,
                   TimePoint aNow,
                   Actions& aActions) const;
-  std::string ChooseTarget(const GroupRecord& aRecord,
-                           const ClusterState& aClusterState,
-                           TimePoint aNow) const;
-  std::string FindTarget(const GroupRecord& aRecord,
+  bool CanReplace(Cause aCause,
+                  const GroupRecord& aRecord,
+                  const ClusterState& aClusterState,
+                  TimePoint aNow) const;
+  PromotionSurvey Survey(const GroupRecord& aRecord,
                          const ClusterState& aClusterState,
                          TimePoint aNow) const;
+  tl::expected<std::string, PromotionWait> FindTarget(const GroupRecord& aRecord,
+                                                      const ClusterState& aClusterState,
+                                                      TimePoint aNow) const;
   bool IsTargetRecorded(const std::string& aTarget,
                         const GroupRecord& aRecord,
                         std::uint64_t aRevision,
@@ -222,6 +238,7 @@
   // has already taken effect.
   TimePoint OrderEffectDeadlineAfterChange() const;
   std::vector<std::string> NotStoodDown(const ClusterState& aClusterState) const;
+  std::vector<std::string> DescribeReports(const ClusterState& aClusterState) const;
   bool FinishIfTaken(const GroupRecord& aRecord,
                      std::uint64_t aRevision,
                      const ClusterState& aClusterState,
@@ -247,6 +264,7 @@
   // flight.
   TimePoint mWriteAgainAt{};
   Cause mCause = Cause::None;
+  PromotionWait mWait = PromotionWait::None;
   // The last change that this plan has seen completed.
   std::uint64_t mServedChange = 0;
   TimePoint mServingSince{};
--- a/src/core/Promotion.cpp
+++ b/src/core/Promotion.cpp
@@ -33,6 +33,8 @@
 constexpr Duration kCatchUpLimit = milliseconds(1500);
 // How long databases have to report before the target is chosen among those that did.
 constexpr Duration kReportWait = milliseconds(400);
+// While it is not known how many replicas commits wait for, they may wait for one.
+constexpr std::uint32_t kFewestSyncReplicas = 1;
 // A report older than this says nothing about a database's health.
 constexpr Duration kReportAge = milliseconds(1500);
 // A promotion order that had no effect is repeated after this long.
@@ -72,6 +74,7 @@
                                            TimePoint aNow)
 {
   Actions actions;
+  mWait = PromotionWait::None;
   if (mStartedAt == TimePoint{}) {
     mStartedAt = aNow;
   }
@@ -198,7 +201,7 @@
   }
   DemoteFormer(aRecord, aClusterState, aNow, aActions);
   auto cause = FindCause(aRecord, aClusterState, aNow);
-  if (cause == Cause::None || ChooseTarget(aRecord, aClusterState, aNow).empty()) {
+  if (cause == Cause::None || !CanReplace(cause, aRecord, aClusterState, aNow)) {
     // Written again in this generation, the record counts for daemons once more.
     if (isOutdated && aNow >= OrderEffectDeadline()) {
       Write(aRecord, aRevision, aNow, aActions);
@@ -214,6 +217,18 @@
   Write(std::move(record), aRevision, aNow, aActions);
 }
 
+// A change that has begun ends with another primary only, so it begins once one is in
+// sight.
+bool PromotionPlan::CanReplace(Cause aCause,
+                               const GroupRecord& aRecord,
+                               const ClusterState& aClusterState,
+                               TimePoint aNow) const
+{
+  auto survey = Survey(aRecord, aClusterState, aNow);
+  survey.mIsPlanned = aCause == Cause::Leaving || aCause == Cause::Evacuated;
+  return MayBeginChange(survey, aCause == Cause::ReplacedUnasked);
+}
+
 // Checks whether each database follows the primary, and orders the demotion of former
 // primaries. The check is repeated because a demotion order may be lost, or a former
 // primary may return later, under another coordinator. A database that follows the
@@ -347,12 +362,13 @@
     return;
   }
   auto target = FindTarget(aRecord, aClusterState, aNow);
-  if (target.empty()) {
+  if (!target) {
+    mWait = target.error();
     return;
   }
-  if (!IsTargetRecorded(target, aRecord, aRevision, aClusterState)) {
+  if (!IsTargetRecorded(*target, aRecord, aRevision, aClusterState)) {
     auto record = aRecord;
-    record.mTarget = target;
+    record.mTarget = *target;
     record.mFence = aClusterState.mFence;
     ++record.mTargetSequence;
     record.mIsOrderOpen = true;
@@ -361,26 +377,35 @@
     return;
   }
   mEarlierOrderDeadline = OrderEffectDeadline();
-  mOrdered = target;
+  mOrdered = *target;
   mOrderedAt = aNow;
   mOrderAgainAt = aNow + kOrderLimit;
   mIsOrderTaken.reset();
-  aActions.emplace_back(
-    OrderPromotion{ target, mStoodDown.size(), NotStoodDown(aClusterState) });
+  aActions.emplace_back(OrderPromotion{ *target,
+                                        DescribeReports(aClusterState),
+                                        mStoodDown.size(),
+                                        NotStoodDown(aClusterState) });
 }
 
 // This coordinator or an earlier one may have ordered the promotion of the recorded
 // target, which may still become primary. Until no such order can take effect, no other
 // database may be ordered. A target in an evacuated zone is given up like one that is
 // gone.
-std::string PromotionPlan::FindTarget(const GroupRecord& aRecord,
-                                      const ClusterState& aClusterState,
-                                      TimePoint aNow) const
+tl::expected<std::string, PromotionWait> PromotionPlan::FindTarget(
+  const GroupRecord& aRecord,
+  const ClusterState& aClusterState,
+  TimePoint aNow) const
 {
   bool areOrdersOver = aNow >= OrderEffectDeadline();
+  auto choose = [&]() -> tl::expected<std::string, PromotionWait> {
+    if (!areOrdersOver) {
+      return tl::unexpected(PromotionWait::EarlierOrder);
+    }
+    return ChoosePromotionTarget(Survey(aRecord, aClusterState, aNow));
+  };
   const auto* target = Find(aClusterState, aRecord.mTarget);
   if (target == nullptr || aClusterState.IsEvacuated(*target)) {
-    return areOrdersOver ? ChooseTarget(aRecord, aClusterState, aNow) : std::string();
+    return choose();
   }
   auto known = mDatabases.find(aRecord.mTarget);
   auto refusedAt = known == mDatabases.end() ? TimePoint{} : known->second.mRefusedAt;
@@ -389,11 +414,12 @@
     return aRecord.mTarget;
   }
   bool isAlive = known->second.mAskedAt > refusedAt;
-  if (!areOrdersOver) {
-    return isAlive ? aRecord.mTarget : std::string();
+  if (!areOrdersOver && isAlive) {
+    return aRecord.mTarget;
   }
   bool isTooEarly = !isAlive && aNow < refusedAt + kRefusedWait;
-  return isTooEarly ? std::string() : ChooseTarget(aRecord, aClusterState, aNow);
+  return areOrdersOver && isTooEarly ? tl::unexpected(PromotionWait::Reports)
+                                     : choose();
 }
 
 TimePoint PromotionPlan::OrderEffectDeadline() const
@@ -433,6 +459,26 @@
   return left;
 }
 
+std::vector<std::string> PromotionPlan::DescribeReports(
+  const ClusterState& aClusterState) const
+{
+  std::vector<std::string> texts;
+  for (const auto* it : aClusterState.mDatabases) {
+    auto known = mDatabases.find(it->mName);
+    bool isReported =
+      known != mDatabases.end() && known->second.mAskedAt >= mQuiescedAt;
+    auto text = it->mName + '@';
+    if (isReported) {
+      const auto& received = known->second.mReport.mReceived;
+      text += std::to_string(received.mTerm) + '.' + std::to_string(received.mPosition);
+    } else {
+      text += '-';
+    }
+    texts.push_back(it->mIsLeaving ? text + ":leaving" : text);
+  }
+  return texts;
+}
+
 bool PromotionPlan::IsQuiesced(const GroupRecord& aRecord,
                                std::uint64_t aRevision,
                                const ClusterState& aClusterState,
@@ -454,51 +500,42 @@
   return false;
 }
 
-// Returns the replica that has received the greatest log position. While the old
-// primary answers, waits up to kCatchUpLimit for a replica that holds its whole log.
-// Returns an empty name if no replica is suitable or it is too early to choose.
-std::string PromotionPlan::ChooseTarget(const GroupRecord& aRecord,
-                                        const ClusterState& aClusterState,
-                                        TimePoint aNow) const
+// What is known of the group's databases. Reports count from the time at which no
+// daemon used the old primary any more, or while it is in use, if they are recent.
+PromotionSurvey PromotionPlan::Survey(const GroupRecord& aRecord,
+                                      const ClusterState& aClusterState,
+                                      TimePoint aNow) const
 {
-  const DatabaseInfo* best = nullptr;
-  std::string name;
-  bool isAnyMissing = false;
+  PromotionSurvey survey;
+  survey.mSyncReplicas = aClusterState.mSyncReplicas.value_or(kFewestSyncReplicas);
   auto since = mQuiescedAt != TimePoint{} ? mQuiescedAt : aNow - kReportAge;
   for (const auto* it : aClusterState.mDatabases) {
-    if (it->mName == aRecord.mPrimary || it->mIsLeaving ||
-        aClusterState.IsEvacuated(*it)) {
+    if (it->mName == aRecord.mPrimary) {
       continue;
     }
+    PromotionCandidate candidate;
+    candidate.mDatabase = it->mName;
+    candidate.mMayStay = !it->mIsLeaving && !aClusterState.IsEvacuated(*it);
     auto known = mDatabases.find(it->mName);
-    bool isKnown = known != mDatabases.end() && known->second.mAskedAt >= since &&
-                   known->second.mAskedAt > known->second.mRefusedAt;
-    if (!isKnown) {
-      isAnyMissing = true;
-      continue;
-    }
-    if (best == nullptr || best->mReport.mReceived < known->second.mReport.mReceived) {
-      best = &known->second;
-      name = it->mName;
+    if (known != mDatabases.end() && known->second.mAskedAt >= since) {
+      candidate.mReceived = known->second.mReport.mReceived;
+      candidate.mIsRunning = known->second.mAskedAt > known->second.mRefusedAt;
     }
+    survey.mCandidates.push_back(std::move(candidate));
   }
-  if (best == nullptr || mQuiescedAt == TimePoint{}) {
-    return name;
+  auto old = mDatabases.find(aRecord.mPrimary);
+  if (old != mDatabases.end()) {
+    if (old->second.mAskedAt >= since) {
+      survey.mOldPrimary = old->second.mReport.mReceived;
+    }
+    survey.mDoesOldPrimaryAnswer = aNow - old->second.mHeardAt < kReportAge;
   }
+  survey.mIsPlanned = mCause == Cause::Leaving || mCause == Cause::Evacuated;
   auto passed = aNow - mQuiescedAt;
-  if (isAnyMissing && passed < kReportWait) {
-    return {};
-  }
-  auto old = mDatabases.find(aRecord.mPrimary);
-  bool doesOldAnswer = old != mDatabases.end() && old->second.mAskedAt >= mQuiescedAt;
-  if (!doesOldAnswer) {
-    // The old primary's last answer may still be in flight.
-    bool isOrderly = mCause == Cause::Leaving || mCause == Cause::Evacuated;
-    bool isExpected = isOrderly && passed < kReportWait;
-    return isExpected ? std::string() : name;
-  }
-  bool isBehind = best->mReport.mReceived < old->second.mReport.mReceived;
-  return isBehind && passed < kCatchUpLimit ? std::string() : name;
+  survey.mIsReportTimeOver = passed >= kReportWait;
+  survey.mIsCatchUpTimeOver = passed >= kCatchUpLimit;
+  survey.mIsListComplete = aNow - mStartedAt > kMissingEntryGrace;
+  return survey;
 }
 
 // Records a database that is primary of a newer term than the old one as the new
--- a/src/proxy/CoordinatorRun.cpp
+++ b/src/proxy/CoordinatorRun.cpp
@@ -77,6 +77,7 @@
   if (isCoordinator != mIsCoordinator) {
     mIsCoordinator = isCoordinator;
     mPlans.clear();
+    mLoggedWaits.clear();
     mMemberWatch = MemberWatch();
     mDaemonPoll = DaemonPoll();
     mPendingStandDowns.clear();
@@ -191,17 +192,37 @@
   clusterState.mRevision = mParts.mSync.OwnRevision();
   clusterState.mFence = mLease.Fence();
   clusterState.mEvacuatedZones = mParts.mFleet.CurrentEvacuations().Zones();
+  clusterState.mSyncReplicas = mParts.mFleet.SyncReplicas(aGroup);
   for (const auto* it : clusterState.mDatabases) {
     plan.OnHeard(it->mName, mParts.mFleet.HeardAt(it->mName));
   }
   const auto& record = leadership->Record();
   plan.OnContactReport(mSelf.mName, mParts.mFleet.Silence(record.mPrimary, aNow), aNow);
   auto actions = plan.Step(record, leadership->StoredRevision(), clusterState, aNow);
+  LogWait(aGroup, record, plan.Wait());
   for (const auto& it : actions) {
     std::visit([&](const auto& aAction) { Execute(aGroup, aAction); }, it);
   }
 }
 
+// Logs why a group stays without a primary, once for each reason in a row.
+void CoordinatorRun::LogWait(const std::string& aGroup,
+                             const GroupRecord& aRecord,
+                             PromotionWait aWait)
+{
+  auto& logged = mLoggedWaits[aGroup];
+  if (std::exchange(logged, aWait) == aWait || aWait == PromotionWait::None) {
+    return;
+  }
+  auto syncReplicas = mParts.mFleet.SyncReplicas(aGroup);
+  LOG(INFO) << daemon::LogLine("promotion_waits")
+                 .With("group", aGroup)
+                 .With("change", aRecord.mChange)
+                 .With("for", kPromotionWaitNames.Name(aWait))
+                 .With("sync_replicas",
+                       syncReplicas ? std::to_string(*syncReplicas) : "unknown");
+}
+
 void CoordinatorRun::Execute(const std::string& aGroup,
                              const PromotionPlan::Probe& aAction)
 {
@@ -347,6 +368,7 @@
   LOG(INFO) << daemon::LogLine("order_promotion")
                  .With("group", aGroup)
                  .With("database", aAction.mDatabase)
+                 .With("reports", JoinNames(aAction.mReports))
                  .With("stood_down", aAction.mStoodDown)
                  .With("waited_out", JoinNames(aAction.mWaitedOut))
                  .With("fence", fence);
--- a/src/proxy/CoordinatorRun.h
+++ b/src/proxy/CoordinatorRun.h
@@ -57,6 +57,9 @@
 private:
   void Write(const CoordinatorLease::Write& aWrite);
   void StepMembers(const std::vector<MemberRecord>& aMembers, TimePoint aNow);
+  void LogWait(const std::string& aGroup,
+               const GroupRecord& aRecord,
+               PromotionWait aWait);
   void Execute(const MemberWatch::MarkMissing& aAction);
   void Execute(const MemberWatch::Remove& aAction);
   void StepGroup(const std::string& aGroup,
@@ -80,6 +83,8 @@
   CoordinatorLease mLease;
   bool mIsCoordinator = false;
   std::map<std::string, PromotionPlan> mPlans;
+  // What each group's plan waited for when it was last stepped.
+  std::map<std::string, PromotionWait> mLoggedWaits;
   MemberWatch mMemberWatch;
   DaemonPoll mDaemonPoll;
   // When each stand-down request that has not been answered yet was sent, by daemon and
--- a/src/proxy/DatabaseFleet.cpp
+++ b/src/proxy/DatabaseFleet.cpp
@@ -49,6 +49,13 @@
   AssignRoles();
 }
 
+std::optional<std::uint32_t> DatabaseFleet::SyncReplicas(
+  const std::string& aGroup) const
+{
+  const auto* group = mCatalogue ? mCatalogue->FindGroup(aGroup) : nullptr;
+  return group != nullptr ? std::optional(group->mSyncReplicas) : std::nullopt;
+}
+
 void DatabaseFleet::SetDaemons(const std::vector<MemberRecord>& aDaemons)
 {
   mHomeFleet = HomeFleet(aDaemons, mRegions);
--- a/src/proxy/DatabaseFleet.h
+++ b/src/proxy/DatabaseFleet.h
@@ -110,6 +110,9 @@
     return mList.OfGroup(aGroup);
   }
   std::set<std::string> Groups() const;
+  // How many replicas have received a commit of the group before it is acknowledged;
+  // none if there is no configuration yet or it lacks the group.
+  std::optional<std::uint32_t> SyncReplicas(const std::string& aGroup) const;
   const Leadership* FindLeadership(const std::string& aGroup) const;
   // Sends a status or demote command to a database. Calls back with none if the
   // database is unknown, no connection was available or no reply came by the deadline.
--- a/test/core/PromotionTest.cpp
+++ b/test/core/PromotionTest.cpp
@@ -191,6 +191,8 @@
   // Whether the coordinator also sends statements, which the primary answers.
   bool mDoesCoordinatorSendStatements = false;
   std::set<std::string> mEvacuatedZones;
+  // How many replicas commits wait for; none if the coordinator doesn't know.
+  std::optional<std::uint32_t> mSyncReplicas = 0;
   int mOrders = 0;
   std::string mLastOrdered;
   int mDemotions = 0;
@@ -305,6 +307,7 @@
     clusterState.mRevision = mSeenRevision;
     clusterState.mFence = mFence;
     clusterState.mEvacuatedZones = mEvacuatedZones;
+    clusterState.mSyncReplicas = mSyncReplicas;
     for (const auto& it : mSeenMembers) {
       clusterState.mDaemons.push_back(it.first);
       if (it.second.mIsMissing) {
@@ -484,6 +487,15 @@
   CPPUNIT_TEST(AnEvacuatedPrimaryStaysIfNoDatabaseIsOutside);
   CPPUNIT_TEST(GivesUpATargetWhoseZoneIsEvacuated);
   CPPUNIT_TEST(TwoGroupsLeaveAZoneAtOnce);
+  CPPUNIT_TEST(ALeavingReplicaThatAloneHoldsAcknowledgedCommitsIsPromoted);
+  CPPUNIT_TEST(AnEvacuatedReplicaThatAloneHoldsAcknowledgedCommitsIsPromoted);
+  CPPUNIT_TEST(AReplicaThatMayHoldAcknowledgedCommitsIsWaitedFor);
+  CPPUNIT_TEST(AReplicaThatIsGoneIsNotWaitedForWhereCommitsWait);
+  CPPUNIT_TEST(ARefusedHolderIsNotPassedOver);
+  CPPUNIT_TEST(APlannedChangeWaitsForTheLeavingPrimarysLog);
+  CPPUNIT_TEST(ACoordinatorThatDoesNotKnowWhetherCommitsWaitLosesNone);
+  CPPUNIT_TEST(ANewCoordinatorLearnsAllReplicasWhereCommitsWait);
+  CPPUNIT_TEST(NoAcknowledgedCommitIsLostWhereCommitsWait);
   CPPUNIT_TEST(WaitsUntilTheContactOfASilentDaemonExpires);
   CPPUNIT_TEST(DaemonThatIsGoneForGoodIsNotWaitedFor);
   CPPUNIT_TEST(FleetThatHasLostMostOfItsDaemonsReplacesAPrimary);
@@ -653,6 +665,188 @@
     CPPUNIT_ASSERT(world.RunUntilServedBy("i-2", seconds(2)));
   }
 
+  // A group whose commits wait for one replica: i-2 has received nothing for a while,
+  // i-1 everything that was acknowledged.
+  static void LetAloneHold(World& aWorld, const std::string& aName)
+  {
+    aWorld.mSyncReplicas = 1;
+    aWorld.Run(seconds(3));
+    aWorld.At("i-0").mReport.mReceived = { 1, 15 };
+    aWorld.At(aName).mReport.mReceived = { 1, 14 };
+  }
+
+  // Guards against the loss of acknowledged commits (review/3): the replica that alone
+  // held them was leaving and was passed over when the primary crashed.
+  void ALeavingReplicaThatAloneHoldsAcknowledgedCommitsIsPromoted()
+  {
+    World world(3);
+    LetAloneHold(world, "i-1");
+    world.At("i-1").mListed.mIsLeaving = true;
+    world.At("i-0").mIsUp = false;
+    CPPUNIT_ASSERT(world.RunUntilServedBy("i-1", seconds(4)));
+    // It hands over as soon as a replica that stays has caught up.
+    world.Run(seconds(4));
+    CPPUNIT_ASSERT_EQUAL(std::string("i-1"), world.Primary());
+    world.At("i-2").mReport.mReceived = world.At("i-1").mReport.mReceived;
+    CPPUNIT_ASSERT(world.RunUntilServedBy("i-2", seconds(2)));
+    CPPUNIT_ASSERT_EQUAL(2, world.mOrders);
+  }
+
+  // Guards against the same loss where the replica's zone is evacuated.
+  void AnEvacuatedReplicaThatAloneHoldsAcknowledgedCommitsIsPromoted()
+  {
+    World world(3);
+    SpreadOverZones(world);
+    LetAloneHold(world, "i-1");
+    world.mEvacuatedZones = { "z1" };
+    world.At("i-0").mIsUp = false;
+    CPPUNIT_ASSERT(world.RunUntilServedBy("i-1", seconds(4)));
+    world.At("i-2").mReport.mReceived = world.At("i-1").mReport.mReceived;
+    CPPUNIT_ASSERT(world.RunUntilServedBy("i-2", seconds(4)));
+  }
+
+  // Guards against the same loss where the replica doesn't answer the coordinator in
+  // time.
+  void AReplicaThatMayHoldAcknowledgedCommitsIsWaitedFor()
+  {
+    World world(3);
+    LetAloneHold(world, "i-1");
+    world.At("i-1").mIsReachable = false;
+    world.At("i-0").mIsUp = false;
+    world.Run(seconds(10));
+    CPPUNIT_ASSERT_EQUAL(0, world.mOrders);
+    world.At("i-1").mIsReachable = true;
+    CPPUNIT_ASSERT(world.RunUntilServedBy("i-1", seconds(3)));
+  }
+
+  // Guards against a group that stays without a primary for a database that is gone.
+  void AReplicaThatIsGoneIsNotWaitedForWhereCommitsWait()
+  {
+    World world(3);
+    LetAloneHold(world, "i-1");
+    world.At("i-1").mIsUp = false;
+    world.At("i-0").mIsUp = false;
+    world.Run(seconds(3));
+    CPPUNIT_ASSERT_EQUAL(0, world.mOrders);
+    world.At("i-1").mIsListed = false;
+    CPPUNIT_ASSERT(world.RunUntilServedBy("i-2", seconds(3)));
+  }
+
+  // Guards against the same loss where the holder crashes before it is promoted and the
+  // platform refuses the order.
+  void ARefusedHolderIsNotPassedOver()
+  {
+    World world(3);
+    LetAloneHold(world, "i-1");
+    world.At("i-0").mIsUp = false;
+    world.mAreOrdersLost = true;
+    for (int n = 0; n < 100 && world.mOrders == 0; ++n) {
+      world.Step();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("i-1"), world.mLastOrdered);
+    world.mAreOrdersLost = false;
+    world.At("i-1").mIsUp = false;
+    world.Run(seconds(8));
+    CPPUNIT_ASSERT_EQUAL(std::string("i-1"), world.mLastOrdered);
+    world.At("i-1").mIsUp = true;
+    CPPUNIT_ASSERT(world.RunUntilServedBy("i-1", seconds(6)));
+  }
+
+  // Guards against the same loss in a planned change: the replicas are behind the
+  // leaving primary for longer than a group without synchronous replicas waits.
+  void APlannedChangeWaitsForTheLeavingPrimarysLog()
+  {
+    World world(3);
+    LetAloneHold(world, "i-1");
+    world.At("i-1").mListed.mIsLeaving = true;
+    world.At("i-0").mListed.mIsLeaving = true;
+    world.Run(seconds(6));
+    CPPUNIT_ASSERT_EQUAL(0, world.mOrders);
+    world.At("i-2").mReport.mReceived = { 1, 15 };
+    CPPUNIT_ASSERT(world.RunUntilServedBy("i-2", seconds(2)));
+  }
+
+  // Guards against a coordinator that takes commits to wait for no replica because it
+  // has no configuration yet.
+  void ACoordinatorThatDoesNotKnowWhetherCommitsWaitLosesNone()
+  {
+    World world(3);
+    LetAloneHold(world, "i-1");
+    world.mSyncReplicas.reset();
+    world.At("i-1").mListed.mIsLeaving = true;
+    world.At("i-0").mIsUp = false;
+    CPPUNIT_ASSERT(world.RunUntilServedBy("i-1", seconds(4)));
+  }
+
+  // Guards against a coordinator that has just taken over and whose list lacks the
+  // holder, as its entry is about to come back.
+  void ANewCoordinatorLearnsAllReplicasWhereCommitsWait()
+  {
+    World world(3);
+    LetAloneHold(world, "i-1");
+    world.At("i-0").mIsUp = false;
+    world.At("i-1").mIsListed = false;
+    world.ReplaceCoordinator();
+    world.Run(seconds(2));
+    CPPUNIT_ASSERT_EQUAL(0, world.mOrders);
+    world.At("i-1").mIsListed = true;
+    CPPUNIT_ASSERT(world.RunUntilServedBy("i-1", seconds(4)));
+  }
+
+  // Whatever is leaving, cut off, crashed or evacuated: no order names a database that
+  // lacks the last acknowledged commit while one that holds it is listed.
+  void NoAcknowledgedCommitIsLostWhereCommitsWait()
+  {
+    bool isHeld =
+      rc::check("an order names a database that holds what was acknowledged", [] {
+        World world(3);
+        SpreadOverZones(world);
+        world.mSyncReplicas = 1;
+        world.Run(seconds(3));
+        constexpr std::uint64_t kAcknowledged = 20;
+        auto holder = *rc::gen::element<std::string>("i-1", "i-2");
+        world.At("i-0").mReport.mReceived = { 1,
+                                              kAcknowledged + *rc::gen::inRange(0, 3) };
+        world.At(holder).mReport.mReceived = { 1, kAcknowledged };
+        world.At("i-0").mListed.mIsLeaving = *rc::gen::arbitrary<bool>();
+        bool mayCrash = !world.At("i-0").mListed.mIsLeaving;
+        for (int n = 0; n < 12; ++n) {
+          auto& database =
+            world.At(*rc::gen::element<std::string>("i-0", "i-1", "i-2"));
+          switch (*rc::gen::inRange(0, 6)) {
+            case 0:
+              database.mListed.mIsLeaving = !database.mListed.mIsLeaving;
+              break;
+            case 1:
+              database.mIsReachable = !database.mIsReachable;
+              break;
+            case 2:
+              database.mIsUp = !database.mIsUp;
+              break;
+            case 3:
+              world.mEvacuatedZones = { database.mListed.mZone };
+              break;
+            case 4:
+              world.ReplaceCoordinator();
+              break;
+            default:
+              world.At("i-0").mIsUp = !mayCrash;
+              break;
+          }
+          world.Run(milliseconds(*rc::gen::inRange(60, 2500)));
+          if (world.mOrders > 0) {
+            break;
+          }
+        }
+        RC_TAG(std::string(world.mOrders > 0 ? "ordered" : "not ordered"));
+        if (world.mOrders > 0) {
+          const auto& report = world.At(world.mLastOrdered).mReport;
+          RC_ASSERT(report.mReceived.mPosition >= kAcknowledged);
+        }
+      });
+    CPPUNIT_ASSERT(isHeld);
+  }
+
   void WaitsUntilTheContactOfASilentDaemonExpires()
   {
     World world(3);
