What a caller was granted ends with its key or its route

Cause: a session looked its key and route up where an operation starts, and nothing took the grant back while the operation lasted.

Evidence: the statement lines of such a session show the revision before the change in `catalogue` while `configuration` shows the later one.

Change: FindWithdrawal says whether a later catalogue takes a grant back: the key no longer belongs to the organisation, or the route is gone. A session asks before each send and each request for a connection, if another catalogue is in force than the one that granted; a new configuration asks for all sessions with an open transaction or a waiting statement. The answer is ABORTED, which promises that nothing is kept; the next operation gets DENIED. What was sent before may finish.

--- a/src/core/CataloguePermit.cpp
+++ b/src/core/CataloguePermit.cpp
@@ -29,4 +29,18 @@
   return { Reason::None, route, organisation };
 }
 
+Withdrawal FindWithdrawal(const Catalogue& aCatalogue, const CallerGrant& aGrant)
+{
+  if (aCatalogue.FindRoute(aGrant.mRoute) == nullptr) {
+    return Withdrawal::RouteRemoved;
+  }
+  if (aGrant.mOrganisation.empty()) {
+    return Withdrawal::None;
+  }
+  const auto* key = aCatalogue.FindKeyByHash(aGrant.mKeyHash);
+  bool isHeld =
+    key != nullptr && !key->mWithdrawn && key->mOrganisation == aGrant.mOrganisation;
+  return isHeld ? Withdrawal::None : Withdrawal::KeyWithdrawn;
+}
+
 } // namespace sesameway
--- a/src/proxy/CallerRun.cpp
+++ b/src/proxy/CallerRun.cpp
@@ -13,6 +13,8 @@
 // How long a caller that exceeds its organisation's rate waits for a token. This is
 // less than half of the time within which a caller counts as served promptly.
 constexpr Duration kAdmissionWait = milliseconds(400);
+// Stands for the organisation of a caller without a known key.
+constexpr const char* kNoOrganisation = "-";
 
 std::string TextOf(const std::optional<LogPosition>& aPosition)
 {
@@ -74,10 +76,61 @@
   if (key == nullptr && !mRoute->mOpen) {
     return refuse(ReplyCode::Denied, "key_unknown");
   }
-  mOrganisation = key != nullptr ? key->mOrganisation : "-";
+  mOrganisation = key != nullptr ? key->mOrganisation : kNoOrganisation;
+  mGrantedRevision = mCatalogue->mRevision;
   return true;
 }
 
+Withdrawal CallerRun::FindWithdrawn()
+{
+  auto current = mEnvironment.Current();
+  if (!current || current->mRevision == mGrantedRevision) {
+    return Withdrawal::None;
+  }
+  bool hasOrganisation = mOrganisation != kNoOrganisation;
+  auto withdrawal = FindWithdrawal(
+    *current,
+    { mRouteName, mKeyHash, hasOrganisation ? mOrganisation : std::string() });
+  if (withdrawal == Withdrawal::None) {
+    mGrantedRevision = current->mRevision;
+  }
+  return withdrawal;
+}
+
+// The refusal promises that nothing was kept. The next operation is then refused as one
+// with an unknown key or route.
+bool CallerRun::RefuseIfWithdrawn()
+{
+  auto withdrawal = FindWithdrawn();
+  if (withdrawal == Withdrawal::None) {
+    return false;
+  }
+  if (mTransaction != TransactionState::Open) {
+    ReleaseLease(false);
+  }
+  Fail(ReplyCode::Aborted, std::string(kWithdrawalNames.Name(withdrawal)));
+  return true;
+}
+
+void CallerRun::EndWithdrawnGrant()
+{
+  bool isWaiting = mTicket != 0;
+  bool isOpen = mTransaction == TransactionState::Open && !mIsBusy;
+  if (mIsOver || mIsDisconnected || !(isWaiting || isOpen)) {
+    return;
+  }
+  auto withdrawal = FindWithdrawn();
+  if (withdrawal == Withdrawal::None) {
+    return;
+  }
+  if (isWaiting) {
+    mBackend.CancelAcquire(std::exchange(mTicket, 0));
+    RefuseIfWithdrawn();
+  } else {
+    EndTransaction(kWithdrawalNames.Name(withdrawal));
+  }
+}
+
 void CallerRun::OnRequest(CallerRequest aRequest)
 {
   if (mIsOver || mIsDisconnected) {
@@ -91,12 +144,12 @@
   mAttempt->mRequest = std::move(aRequest);
   auto kind = mAttempt->mRequest.mKind;
   if (mTransaction == TransactionState::Failed && kind != RequestKind::Rollback) {
-    const char* reason = std::exchange(mAbortReason, nullptr);
+    auto reason = std::exchange(mAbortReason, {});
     if (kind == RequestKind::Commit) {
       mTransaction = TransactionState::None;
       Answer(OwnReply(ReplyCode::Aborted, "transaction_failed", mTransaction));
-    } else if (reason != nullptr) {
-      Answer(OwnReply(ReplyCode::Aborted, reason, mTransaction));
+    } else if (!reason.empty()) {
+      Answer(OwnReply(ReplyCode::Aborted, std::string(reason), mTransaction));
     } else {
       Answer(OwnReply(ReplyCode::Malformed, "transaction_failed", mTransaction));
     }
@@ -174,7 +227,7 @@
 
 void CallerRun::OnRollback()
 {
-  mAbortReason = nullptr;
+  mAbortReason = {};
   mTransaction = TransactionState::None;
   RollBack();
   Answer(OwnReply(ReplyCode::Done, {}, mTransaction));
@@ -334,11 +387,15 @@
   });
 }
 
-void CallerRun::EndTransaction(const char* aReason)
+void CallerRun::EndTransaction(std::string_view aReason)
 {
   if (mTransaction != TransactionState::Open || mIsBusy) {
     return;
   }
+  LOG(INFO) << daemon::LogLine("transaction_ended")
+                 .With("route", mRouteName)
+                 .With("organisation", mOrganisation)
+                 .With("reason", aReason);
   RollBack();
   mTransaction = TransactionState::Failed;
   mAbortReason = aReason;
--- a/src/proxy/CallerRun.h
+++ b/src/proxy/CallerRun.h
@@ -1,11 +1,14 @@
 #pragma once
 
 #include "proxy/Backend.h"
+#include "sesameway/CataloguePermit.h"
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace sesameway::proxy {
 
@@ -69,10 +72,14 @@
   // open; otherwise does nothing.
   void Drain();
   // Rolls back an open transaction between requests. The next statement is refused as
-  // aborted with `aReason`.
-  void EndTransaction(const char* aReason);
+  // aborted with `aReason`, a constant.
+  void EndTransaction(std::string_view aReason);
   // The same if the transaction's database is no longer to be used.
   void EndTransactionIfEvacuated();
+  // Ends what was granted to the caller if the catalogue in force takes it back: rolls
+  // an open transaction back between requests, and refuses a statement that waits for a
+  // connection. A statement that has been sent may finish.
+  void EndWithdrawnGrant();
   bool IsIdle() const { return !mIsBusy && mTransaction == TransactionState::None; }
   // The time of the last answer, or of the session's start if there was none.
   TimePoint AnsweredAt() const { return mAnsweredAt; }
@@ -82,6 +89,10 @@
   using Attempt = detail::Attempt;
 
   bool CheckPermission();
+  // Why the catalogue in force no longer grants what CheckPermission has granted.
+  Withdrawal FindWithdrawn();
+  // If the grant was taken back, refuses the current request and returns true.
+  bool RefuseIfWithdrawn();
   void OnData();
   void OnBegin();
   void OnCommit();
@@ -147,6 +158,9 @@
   CataloguePtr mCatalogue;
   const RouteEntry* mRoute = nullptr;
   std::string mOrganisation;
+  // Revision of the catalogue that has granted the current request or transaction, or
+  // that has not taken the grant back since.
+  std::uint64_t mGrantedRevision = 0;
 
   SessionValues mValues;
   std::map<std::string, PreparedStatement> mPrepared;
@@ -165,8 +179,8 @@
   bool mHasAnswered = false;
   TimePoint mBegunAt{};
   // Why the transaction was ended between requests; told to the caller with the next
-  // statement. Null if there is nothing to tell.
-  const char* mAbortReason = nullptr;
+  // statement. Empty if there is nothing to tell.
+  std::string_view mAbortReason;
 
   std::optional<Attempt> mAttempt;
   std::uint64_t mAttempts = 0;
--- a/src/proxy/CallerSend.cpp
+++ b/src/proxy/CallerSend.cpp
@@ -19,7 +19,7 @@
 
 void CallerRun::Acquire()
 {
-  if (!mAttempt) {
+  if (!mAttempt || RefuseIfWithdrawn()) {
     return;
   }
   auto& attempt = *mAttempt;
@@ -138,6 +138,9 @@
     Fail(ReplyCode::Aborted, kEvacuated);
     return;
   }
+  if (RefuseIfWithdrawn()) {
+    return;
+  }
   auto& attempt = *mAttempt;
   attempt.mSentAt = mEnvironment.Now();
   attempt.mDatabase = mLease->mDatabase;
@@ -165,10 +168,10 @@
   SendBatch(std::move(commands), [this](ConnectionReply aReply) {
     if (aReply.mCode != ReplyCode::Done) {
       OnOutcome(std::move(aReply));
-    } else if (mBackend.IsInForce(*mLease)) {
-      SendStatement();
-    } else {
+    } else if (!mBackend.IsInForce(*mLease)) {
       OnPrimaryReplaced();
+    } else if (!RefuseIfWithdrawn()) {
+      SendStatement();
     }
   });
 }
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -261,6 +261,17 @@
   }
 }
 
+void Proxy::EndWithdrawnGrants()
+{
+  // A session whose request is refused may be closed and opened anew at once.
+  auto sessions = mSessions;
+  for (const auto& it : sessions) {
+    if (auto session = it.lock()) {
+      session->EndWithdrawnGrant();
+    }
+  }
+}
+
 bool Proxy::ClosesWithAnswer() const
 {
   return mDrainPlan && mDrainPlan->ClosesWithAnswer(Clock::now());
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -123,6 +123,8 @@
   void WriteLostRecords(TimePoint aNow);
   void WriteLostEvacuations(TimePoint aNow);
   void EndEvacuatedTransactions();
+  // Ends what sessions were granted and the catalogue in force takes back.
+  void EndWithdrawnGrants();
   // Decides whether to follow the store's changes, and polls a peer in the same region
   // for them if one precedes this daemon by name; see StoreWatchers.
   void FollowStore(TimePoint aNow);
--- a/src/proxy/ProxyStore.cpp
+++ b/src/proxy/ProxyStore.cpp
@@ -89,6 +89,7 @@
                  .With("organisations", mCatalogue->mOrganisations.size());
   mFleet.SetCatalogue(mCatalogue);
   mAdmission->OnCatalogue(*mCatalogue);
+  EndWithdrawnGrants();
 }
 
 void Proxy::OnDatabase(const StoredObject& aObject)
--- a/test/core/CataloguePermitTest.cpp
+++ b/test/core/CataloguePermitTest.cpp
@@ -15,8 +15,35 @@
   CPPUNIT_TEST_SUITE(CataloguePermitTest);
   CPPUNIT_TEST(AKeyPermitsOnlyRoutesOpenToItsOrganisation);
   CPPUNIT_TEST(AWithdrawnKeyTakesPrecedenceOverOneWithTheSameHash);
+  CPPUNIT_TEST(AGrantEndsWithItsKeyOrItsRoute);
   CPPUNIT_TEST_SUITE_END();
 
+  // Guards against a caller that goes on with a key that was withdrawn or given to
+  // another organisation (review/5), and against one that is cut off for less.
+  void AGrantEndsWithItsKeyOrItsRoute()
+  {
+    Catalogue catalogue;
+    Insert(catalogue, KeyEntry{ "k", "o", "hash", false });
+    Insert(catalogue, RouteEntry{ "r", "s", "g", {}, false, 0 });
+    CallerGrant grant{ "r", "hash", "o" };
+    CPPUNIT_ASSERT(FindWithdrawal(catalogue, grant) == Withdrawal::None);
+    CPPUNIT_ASSERT(FindWithdrawal(catalogue, { "r", "", "" }) == Withdrawal::None);
+    CPPUNIT_ASSERT(FindWithdrawal(catalogue, { "q", "hash", "o" }) ==
+                   Withdrawal::RouteRemoved);
+    auto moved = catalogue;
+    moved.mKeys["k"].mOrganisation = "p";
+    CPPUNIT_ASSERT(FindWithdrawal(moved, grant) == Withdrawal::KeyWithdrawn);
+    auto withdrawn = catalogue;
+    withdrawn.mKeys["k"].mWithdrawn = true;
+    CPPUNIT_ASSERT(FindWithdrawal(withdrawn, grant) == Withdrawal::KeyWithdrawn);
+    auto gone = catalogue;
+    gone.mKeys.clear();
+    gone.mKeyNamesByHash.clear();
+    CPPUNIT_ASSERT(FindWithdrawal(gone, grant) == Withdrawal::KeyWithdrawn);
+    // Whoever came without a known key needs none.
+    CPPUNIT_ASSERT(FindWithdrawal(gone, { "r", "hash", "" }) == Withdrawal::None);
+  }
+
   void AKeyPermitsOnlyRoutesOpenToItsOrganisation()
   {
     bool isHeld = rc::check("permission over random catalogues", [] {
--- a/test/proxy/CallerRunTest.cpp
+++ b/test/proxy/CallerRunTest.cpp
@@ -39,6 +39,16 @@
   CPPUNIT_TEST(WriteThatFailedIsNotRunAgain);
   CPPUNIT_TEST(ReadIsRetriedElsewhereIfADatabaseAnswersNothing);
   CPPUNIT_TEST(ReadStaysAtADatabaseThatAnswersOthers);
+  CPPUNIT_TEST(AnOpenTransactionEndsWithItsKey);
+  CPPUNIT_TEST(ACommitIsRefusedOnceTheKeyIsWithdrawn);
+  CPPUNIT_TEST(AnIdleTransactionIsRolledBackWhenItsKeyIsWithdrawn);
+  CPPUNIT_TEST(AStatementIsNotSentAfterABeginDuringWhichTheKeyWasWithdrawn);
+  CPPUNIT_TEST(AStatementThatWaitsForAConnectionIsRefusedWhenItsKeyIsWithdrawn);
+  CPPUNIT_TEST(AStatementThatWaitsForAdmissionIsRefusedWhenItsKeyIsWithdrawn);
+  CPPUNIT_TEST(AStatementIsNotSentAgainOnceItsKeyIsWithdrawn);
+  CPPUNIT_TEST(ACommitThatWasSentBeforeItsKeyWasWithdrawnIsAnswered);
+  CPPUNIT_TEST(ATransactionEndsWithItsRoute);
+  CPPUNIT_TEST(AChangedRouteAppliesFromTheNextTransactionOn);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -91,6 +101,7 @@
 
   void AssertCode(ReplyCode aCode) const
   {
+    CPPUNIT_ASSERT(!mStream->mAnswers.empty());
     CPPUNIT_ASSERT_EQUAL(std::string(kReplyCodeNames.Name(aCode)),
                          std::string(kReplyCodeNames.Name(Last().mCode)));
   }
@@ -467,6 +478,160 @@
   std::shared_ptr<FakeStream> mStream;
   std::shared_ptr<CallerRun> mSession;
   int mRequests = 0;
+
+  // Replaces the catalogue by a later version that the test has changed.
+  template<typename Change>
+  void Configure(Change aChange)
+  {
+    auto catalogue = std::make_shared<Catalogue>(*mEnvironment->mCatalogue);
+    ++catalogue->mRevision;
+    aChange(*catalogue);
+    mEnvironment->mCatalogue = catalogue;
+  }
+  void WithdrawKey()
+  {
+    Configure([](Catalogue& aCatalogue) {
+      aCatalogue.mKeys.clear();
+      aCatalogue.mKeyNamesByHash.clear();
+      aCatalogue.mOrganisations.clear();
+    });
+  }
+
+  // Guards against statements of an open transaction that run with a key that was
+  // withdrawn (review/5), as only the first one was checked.
+  void AnOpenTransactionEndsWithItsKey()
+  {
+    auto link = BeginAndRead();
+    WithdrawKey();
+    Ask(RequestKind::Write, "WRITE a v");
+    AssertCode(ReplyCode::Aborted);
+    CPPUNIT_ASSERT_EQUAL(std::string("key_withdrawn"), Last().mDetail);
+    CPPUNIT_ASSERT(Last().mTransaction == TransactionState::Failed);
+    CPPUNIT_ASSERT(link->mSent.back().mKind == CommandKind::Rollback);
+    Ask(RequestKind::Rollback);
+    Ask(RequestKind::Begin);
+    CPPUNIT_ASSERT(mStream->mRefusal == ReplyCode::Denied);
+  }
+
+  // Guards against a commit with a key that was withdrawn (review/5).
+  void ACommitIsRefusedOnceTheKeyIsWithdrawn()
+  {
+    auto link = BeginAndRead();
+    WithdrawKey();
+    Ask(RequestKind::Commit);
+    AssertCode(ReplyCode::Aborted);
+    CPPUNIT_ASSERT(Last().mTransaction == TransactionState::None);
+    CPPUNIT_ASSERT(link->mSent.back().mKind == CommandKind::Rollback);
+  }
+
+  // Guards against a connection and locks that a withdrawn key holds until the caller
+  // sends again.
+  void AnIdleTransactionIsRolledBackWhenItsKeyIsWithdrawn()
+  {
+    auto link = BeginAndRead();
+    mSession->EndWithdrawnGrant();
+    CPPUNIT_ASSERT(!link->IsBusy());
+    WithdrawKey();
+    mSession->EndWithdrawnGrant();
+    CPPUNIT_ASSERT(link->mSent.back().mKind == CommandKind::Rollback);
+    Ask(RequestKind::Read, "READ a");
+    AssertCode(ReplyCode::Aborted);
+    CPPUNIT_ASSERT_EQUAL(std::string("key_withdrawn"), Last().mDetail);
+  }
+
+  // Guards against a statement that is sent behind its transaction's begin command
+  // although the key was withdrawn in between.
+  void AStatementIsNotSentAfterABeginDuringWhichTheKeyWasWithdrawn()
+  {
+    Ask(RequestKind::Begin);
+    Ask(RequestKind::Write, "WRITE a v");
+    auto link = mBackend->Grant("i-1", true);
+    WithdrawKey();
+    link->Answer(Done("", TransactionState::Open));
+    AssertCode(ReplyCode::Aborted);
+    CPPUNIT_ASSERT(link->mSent.back().mKind == CommandKind::Rollback);
+  }
+
+  // Guards against a statement that waits for a connection, up to its route's timeout,
+  // and runs then with a key that was withdrawn.
+  void AStatementThatWaitsForAConnectionIsRefusedWhenItsKeyIsWithdrawn()
+  {
+    Ask(RequestKind::Write, "WRITE a v");
+    WithdrawKey();
+    mSession->EndWithdrawnGrant();
+    AssertCode(ReplyCode::Aborted);
+    CPPUNIT_ASSERT(mBackend->mPendingAcquires.empty());
+
+    Connect("strict");
+    CPPUNIT_ASSERT(mStream->mRefusal == ReplyCode::Denied);
+  }
+
+  // Guards against a statement that waits for its organisation's rate and runs then
+  // with a key that was withdrawn.
+  void AStatementThatWaitsForAdmissionIsRefusedWhenItsKeyIsWithdrawn()
+  {
+    mEnvironment->mAdmitsAtOnce = false;
+    Ask(RequestKind::Write, "WRITE a v");
+    WithdrawKey();
+    mEnvironment->mVerdicts.front()(true, mEnvironment->mNow);
+    AssertCode(ReplyCode::Aborted);
+    CPPUNIT_ASSERT(mBackend->mPendingAcquires.empty());
+  }
+
+  // Guards against a retry with a key that was withdrawn since the first attempt, also
+  // where the connection is there already.
+  void AStatementIsNotSentAgainOnceItsKeyIsWithdrawn()
+  {
+    Ask(RequestKind::Write, "WRITE a v");
+    auto link = mBackend->Grant("i-1", true);
+    link->Answer(Refused(ReplyCode::Busy));
+    WithdrawKey();
+    mEnvironment->AdvanceTime(milliseconds(200));
+    AssertCode(ReplyCode::Aborted);
+    CPPUNIT_ASSERT(mBackend->mPendingAcquires.empty());
+    CPPUNIT_ASSERT_EQUAL(1, link->mBatches);
+  }
+
+  // A commit that was sent in time has run; its answer is told.
+  void ACommitThatWasSentBeforeItsKeyWasWithdrawnIsAnswered()
+  {
+    auto link = BeginAndRead();
+    Ask(RequestKind::Commit);
+    WithdrawKey();
+    mSession->EndWithdrawnGrant();
+    link->Answer(Done("d2"));
+    AssertCode(ReplyCode::Done);
+  }
+
+  // Guards against statements of an open transaction that run with a route that was
+  // removed.
+  void ATransactionEndsWithItsRoute()
+  {
+    auto link = BeginAndRead();
+    Configure([](Catalogue& aCatalogue) { aCatalogue.mRoutes.erase("strict"); });
+    Ask(RequestKind::Read, "READ a");
+    AssertCode(ReplyCode::Aborted);
+    CPPUNIT_ASSERT_EQUAL(std::string("route_removed"), Last().mDetail);
+    CPPUNIT_ASSERT(link->mSent.back().mKind == CommandKind::Rollback);
+  }
+
+  // Guards against a transaction that is ended by a change that takes nothing from it.
+  void AChangedRouteAppliesFromTheNextTransactionOn()
+  {
+    auto link = BeginAndRead();
+    Configure([](Catalogue& aCatalogue) {
+      aCatalogue.mRoutes["strict"].mGroup = "other";
+      aCatalogue.mRoutes.erase("aged");
+      aCatalogue.mOrganisations["acme"].mRate = 1;
+    });
+    mSession->EndWithdrawnGrant();
+    Ask(RequestKind::Commit);
+    link->Answer(Done("d2"));
+    AssertCode(ReplyCode::Done);
+    Ask(RequestKind::Read, "READ a");
+    CPPUNIT_ASSERT_EQUAL(std::string("other"),
+                         mBackend->mPendingAcquires.begin()->second.mRequest.mGroup);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallerRunTest);
