No change of primary begins on reports of an earlier change

What callers would see: a group without a primary. The primary leaves; the other databases have not answered the coordinator since the change before. It began a change on their old reports, all daemons gave the primary up, and nothing could be promoted.

Cause: the time from which reports count was that of the last change's quiescence, also while the group serves.

Test: PromotionTest::NoChangeBeginsOnReportsOfAnEarlierChange, with syncReplicas 0 and 1; it fails with the former time.

--- a/src/core/Promotion.cpp
+++ b/src/core/Promotion.cpp
@@ -508,7 +508,8 @@
 {
   PromotionSurvey survey;
   survey.mSyncReplicas = aClusterState.mSyncReplicas.value_or(kFewestSyncReplicas);
-  auto since = mQuiescedAt != TimePoint{} ? mQuiescedAt : aNow - kReportAge;
+  bool isChanging = aRecord.mPhase == GroupPhase::Changing;
+  auto since = isChanging ? mQuiescedAt : aNow - kReportAge;
   for (const auto* it : aClusterState.mDatabases) {
     if (it->mName == aRecord.mPrimary) {
       continue;
--- a/test/core/PromotionTest.cpp
+++ b/test/core/PromotionTest.cpp
@@ -496,6 +496,7 @@
   CPPUNIT_TEST(ACoordinatorThatDoesNotKnowWhetherCommitsWaitLosesNone);
   CPPUNIT_TEST(ANewCoordinatorLearnsAllReplicasWhereCommitsWait);
   CPPUNIT_TEST(NoAcknowledgedCommitIsLostWhereCommitsWait);
+  CPPUNIT_TEST(NoChangeBeginsOnReportsOfAnEarlierChange);
   CPPUNIT_TEST(WaitsUntilTheContactOfASilentDaemonExpires);
   CPPUNIT_TEST(DaemonThatIsGoneForGoodIsNotWaitedFor);
   CPPUNIT_TEST(FleetThatHasLostMostOfItsDaemonsReplacesAPrimary);
@@ -847,6 +848,27 @@
     CPPUNIT_ASSERT(isHeld);
   }
 
+  // Guards against a group that gives up a primary that leaves for replicas that have
+  // not answered since the change before: it would have no primary at all.
+  void NoChangeBeginsOnReportsOfAnEarlierChange()
+  {
+    for (std::uint32_t syncReplicas : { 0, 1 }) {
+      World world(3);
+      world.mSyncReplicas = syncReplicas;
+      world.Run(seconds(3));
+      world.At("i-0").mIsUp = false;
+      CPPUNIT_ASSERT(world.RunUntilServedBy("i-1", seconds(4)));
+      world.Run(seconds(8));
+      world.At("i-2").mIsReachable = false;
+      world.Run(seconds(2));
+      world.At("i-1").mListed.mIsLeaving = true;
+      world.Run(seconds(4));
+      CPPUNIT_ASSERT(world.mRecord.mPhase == GroupPhase::Serving);
+      world.At("i-2").mIsReachable = true;
+      CPPUNIT_ASSERT(world.RunUntilServedBy("i-2", seconds(4)));
+    }
+  }
+
   void WaitsUntilTheContactOfASilentDaemonExpires()
   {
     World world(3);
