--- a/test/proxy/DatabaseFleetTest.cpp
+++ b/test/proxy/DatabaseFleetTest.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(HeadProposedForAReplacedPrimaryIsNotConfirmedByTheNextOne);
   CPPUNIT_TEST(ReadThatWaitedAtAReplicaThatLeavesRunsElsewhere);
   CPPUNIT_TEST(NextReadPassesOverAReplicaThatWasBehind);
+  CPPUNIT_TEST(SynchronousReplicasAreUnknownWithoutTheGroupsConfiguration);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -272,6 +273,22 @@
 
   std::unique_ptr<FleetWorld> mWorld;
   std::shared_ptr<CallerRun> mSession;
+
+  // Guards against a coordinator that takes commits to wait for no replica because it
+  // knows no configuration of the group.
+  void SynchronousReplicasAreUnknownWithoutTheGroupsConfiguration()
+  {
+    auto& fleet = mWorld->mFleet;
+    fleet.SetCatalogue(nullptr);
+    CPPUNIT_ASSERT(!fleet.SyncReplicas("g"));
+    auto catalogue = std::make_shared<Catalogue>();
+    auto& group = catalogue->mServices["s"].mGroups.emplace_back();
+    group.mName = "g";
+    group.mSyncReplicas = 2;
+    fleet.SetCatalogue(catalogue);
+    CPPUNIT_ASSERT(fleet.SyncReplicas("g") == std::uint32_t{ 2 });
+    CPPUNIT_ASSERT(!fleet.SyncReplicas("other"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DatabaseFleetTest);
