One odd entry of another writer hides no other

An entry whose port is out of range was listed as a database that nobody reaches.

Cause: a listing or watch of the store was parsed as one JSON document. One value that the parser doesn't take made all of it unreadable, and the call was repeated as it was. Addresses and counts of an entry were not checked.

Two tests gave a database the address x:1, which names none now; they have an IP address instead, their checks are unchanged.

--- a/test/core/CatalogueSchemaTest.cpp
+++ b/test/core/CatalogueSchemaTest.cpp
@@ -9,6 +9,7 @@
   CPPUNIT_TEST_SUITE(CatalogueSchemaTest);
   CPPUNIT_TEST(ValidEntriesAreAccepted);
   CPPUNIT_TEST(InvalidEntriesAreRejectedWithKeyAndExpectation);
+  CPPUNIT_TEST(OddEntriesEndNoProcess);
   CPPUNIT_TEST(DanglingReferencesAreFound);
   CPPUNIT_TEST(AKeyEntrySurvivesFormattingAndParsing);
   CPPUNIT_TEST_SUITE_END();
@@ -35,6 +36,37 @@
     CPPUNIT_ASSERT(route);
   }
 
+  // Guards against an entry of another writer that ends a process: one that is deeply
+  // nested, or holds a number or port that is too large.
+  void OddEntriesEndNoProcess()
+  {
+    std::string service = kService;
+    auto address = service.find("10.0.0.1:5");
+    auto withAddress = [&](const std::string& aText) {
+      return std::string(service).replace(address, 10, aText);
+    };
+    constexpr std::size_t kDepth = 200'000;
+    std::string tables;
+    for (std::size_t n = 0; n < kDepth; ++n) {
+      tables += "{a=";
+    }
+    const std::vector<std::string> bodies{
+      service + "x = " + std::string(kDepth, '[') + std::string(kDepth, ']') + '\n',
+      service + "x = " + std::string(kDepth, '[') + '\n',
+      service + "x = " + tables + '\n',
+      service + "slots = 99999999999999999999\n",
+      service + "slots = 1e999\n",
+      service + "slots = -1e999\n",
+      withAddress("10.0.0.1:65536"),
+      withAddress("10.0.0.1:-1"),
+      withAddress("10.0.0.1:99999999999999999999"),
+      withAddress("10.0.0.1:5x"),
+    };
+    for (const auto& it : bodies) {
+      CPPUNIT_ASSERT_MESSAGE(it.substr(0, 200), !ParseEntry("catalogue/service/s", it));
+    }
+  }
+
   struct InvalidEntry
   {
     const char* mObject;
--- a/test/platform/ObjectStoreTest.cpp
+++ b/test/platform/ObjectStoreTest.cpp
@@ -10,6 +10,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <deque>
 #include <thread>
 
@@ -124,6 +125,12 @@
   CPPUNIT_TEST(MembersOfAnotherTypeEndNoProcess);
   CPPUNIT_TEST(ADeeplyNestedEntryEndsNoProcess);
   CPPUNIT_TEST(NumbersThatDoNotFitAreBounded);
+  CPPUNIT_TEST(TheNumberOfSynchronousReplicasIsRead);
+  CPPUNIT_TEST(AnOddEntryHidesNoOtherInAListing);
+  CPPUNIT_TEST(AnOddEntryHidesNoOtherInAWatch);
+  CPPUNIT_TEST(AnOddEntryIsReadAloneWithoutABody);
+  CPPUNIT_TEST(APageOfOddEntriesOnlyIsPassed);
+  CPPUNIT_TEST(AnOddEntryNamesNoDatabase);
   CPPUNIT_TEST(CreatesAndReplacesOnCondition);
   CPPUNIT_TEST(AConflictReturnsTheCurrentObject);
   CPPUNIT_TEST(AnErrorStatusIsNoAnswer);
@@ -290,7 +297,7 @@
   void NumbersThatDoNotFitAreBounded()
   {
     auto database = DecodeDatabase(
-      "a", R"({"service":"g","addr":"x:1","state":"ready","slots":1e300})");
+      "a", R"({"service":"g","addr":"10.0.0.1:1","state":"ready","slots":1e300})");
     CPPUNIT_ASSERT_EQUAL(std::numeric_limits<std::uint32_t>::max(), database->mSlots);
     auto catalogue = DecodeConfiguration(
       R"({"version":1e300,"routes":[{"host":"r","timeoutMs":1e300}]})", 1);
@@ -298,6 +305,142 @@
     CPPUNIT_ASSERT(Clock::now() + timeout > Clock::now() + std::chrono::days(100));
   }
 
+  // Guards against a coordinator that doesn't know that commits wait for replicas
+  // (review/3).
+  void TheNumberOfSynchronousReplicasIsRead()
+  {
+    auto catalogue = DecodeConfiguration(
+      R"({"version":1,"services":[{"name":"s","syncReplicas":1},{"name":"t"}]})", 1);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{ 1 }, catalogue->FindGroup("s")->mSyncReplicas);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{ 0 }, catalogue->FindGroup("t")->mSyncReplicas);
+  }
+
+  static constexpr const char* kGoodEntry =
+    R"({"service":"g","addr":"10.0.0.1:8080","zone":"z","slots":3,"state":"ready"})";
+
+  // Entries that another writer may have left: what the store returns for `spec`.
+  static std::vector<std::string> OddEntries()
+  {
+    auto nested = std::string(400'000, '[') + std::string(400'000, ']');
+    return {
+      R"({"service":"g","addr":"10.0.0.1:8080","state":"ready","slots":1e999})",
+      R"({"service":"g","addr":"10.0.0.1:8080","state":"ready","sequence":-1e999})",
+      R"({"service":"\udcff","addr":"10.0.0.1:8080","state":"ready"})",
+      "{\"service\":\"\xff\",\"addr\":\"10.0.0.1:8080\",\"state\":\"ready\"}",
+      R"({"service":"g","addr":"10.0.0.1:8080","state":"ready","zone":)" + nested + "}",
+      nested,
+      R"({"service":"g","addr":"10.0.0.1:65536","state":"ready"})",
+      R"({"service":"g","addr":"10.0.0.1:-1","state":"ready"})",
+      R"({"service":"g","addr":"10.0.0.1:8080x","state":"ready"})",
+      R"({"service":"g","addr":"10.0.0.1:99999999999999999999","state":"ready"})",
+      R"({"service":"g","addr":"10.0.0.1:8080","state":"ready","sequence":1e300})",
+      "tru",
+    };
+  }
+
+  static std::string MakeEntryText(const std::string& aName, const std::string& aSpec)
+  {
+    return R"({"meta":{"name":")" + aName + R"(","rev":3},"spec":)" + aSpec +
+           R"(,"status":null})";
+  }
+
+  static bool IsDatabase(const Object& aObject)
+  {
+    return DecodeDatabase(aObject.mName, aObject.mBody).has_value();
+  }
+
+  // Guards against one odd entry that keeps every daemon from starting (review/4): the
+  // listing was refused as a whole.
+  void AnOddEntryHidesNoOtherInAListing()
+  {
+    for (const auto& it : OddEntries()) {
+      auto body = R"({"items":[)" + MakeEntryText("a", kGoodEntry) + ',' +
+                  MakeEntryText("odd", it) + ',' + MakeEntryText("z", kGoodEntry) +
+                  R"(],"hasMore":false,"currentRev":9})";
+      mServer->mAnswers = { MakeHttpResponse(200, body) };
+      auto listing =
+        Wait<Listing>([&](auto aDone) { mStore->ListKind("servers", Soon(), aDone); });
+      auto text = it.substr(0, 80);
+      CPPUNIT_ASSERT_MESSAGE(text, listing.has_value());
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 9 }, listing->mRevision);
+      AssertNeighbours(listing->mObjects, text);
+    }
+  }
+
+  // Both good entries are there, and the one between them, if it is, is no database.
+  static void AssertNeighbours(const std::vector<Object>& aObjects,
+                               const std::string& aOdd)
+  {
+    CPPUNIT_ASSERT_MESSAGE(aOdd, aObjects.size() >= 2);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(
+      aOdd, std::string("servers/a"), aObjects.front().mName);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(aOdd, std::string("servers/z"), aObjects.back().mName);
+    auto databases = std::count_if(aObjects.begin(), aObjects.end(), IsDatabase);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(aOdd, std::ptrdiff_t{ 2 }, databases);
+  }
+
+  // Guards against daemons that stop following the store at an odd entry: the watch was
+  // refused as a whole and sent again from the same revision.
+  void AnOddEntryHidesNoOtherInAWatch()
+  {
+    auto event = [](const std::string& aObject) {
+      return R"({"deleted":false,"object":)" + aObject + '}';
+    };
+    for (const auto& it : OddEntries()) {
+      auto body = R"({"events":[)" + event(MakeEntryText("a", kGoodEntry)) + ',' +
+                  event(MakeEntryText("odd", it)) + ',' +
+                  event(MakeEntryText("z", kGoodEntry)) + R"(],"currentRev":9})";
+      mServer->mAnswers = { MakeHttpResponse(200, body) };
+      auto changes = Wait<Changes>(
+        [&](auto aDone) { mStore->ChangesAfter("servers", 3, Soon(), aDone); });
+      auto text = it.substr(0, 80);
+      CPPUNIT_ASSERT_MESSAGE(text, changes.has_value());
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 9 }, changes->mRevision);
+      AssertNeighbours(changes->mObjects, text);
+    }
+  }
+
+  void AnOddEntryIsReadAloneWithoutABody()
+  {
+    for (const auto& it : OddEntries()) {
+      mServer->mAnswers = { MakeHttpResponse(200, MakeEntryText("odd", it)) };
+      auto object =
+        Wait<Object>([&](auto aDone) { mStore->Get("servers/odd", Soon(), aDone); });
+      CPPUNIT_ASSERT_MESSAGE(it.substr(0, 80), !object || !IsDatabase(*object));
+    }
+  }
+
+  // Guards against a listing that can't go on behind a page without a good entry.
+  void APageOfOddEntriesOnlyIsPassed()
+  {
+    mServer->mAnswers = {
+      MakeHttpResponse(200,
+                       R"({"items":[)" + MakeEntryText("odd&1", "1e999") + ',' +
+                         MakeEntryText("odd 2", "1e999") +
+                         R"(],"hasMore":true,"currentRev":9})"),
+      MakeHttpResponse(200,
+                       R"({"items":[)" + MakeEntryText("z", kGoodEntry) +
+                         R"(],"hasMore":false,"currentRev":9})")
+    };
+    auto listing =
+      Wait<Listing>([&](auto aDone) { mStore->ListKind("servers", Soon(), aDone); });
+    CPPUNIT_ASSERT_EQUAL(std::string("GET /objects/servers?after=odd%202"),
+                         mServer->mRequests.back());
+    CPPUNIT_ASSERT_EQUAL(std::string("servers/z"), listing->mObjects.back().mName);
+  }
+
+  // Guards against a database that is never reached but counted, and against counts
+  // that make all later entries of the database older ones.
+  void AnOddEntryNamesNoDatabase()
+  {
+    CPPUNIT_ASSERT(DecodeDatabase("a", kGoodEntry));
+    for (const auto& it : OddEntries()) {
+      CPPUNIT_ASSERT_MESSAGE(it.substr(0, 80), !DecodeDatabase("a", it));
+    }
+    auto born = R"({"service":"g","addr":"10.0.0.1:1","state":"ready","born":1e300})";
+    CPPUNIT_ASSERT(!DecodeDatabase("a", born));
+  }
+
   void CreatesAndReplacesOnCondition()
   {
     mServer->mAnswers = { MakeHttpResponse(201, MakeObjectText("a", 5)) };
@@ -557,8 +700,8 @@
   {
     auto read = [](const std::string& aCold, InputIssues& aIssues) {
       return DecodeDatabase("i-1",
-                            R"({"service":"s","addr":"x:1","state":"ready")" + aCold +
-                              "}",
+                            R"({"service":"s","addr":"10.0.0.1:1","state":"ready")" +
+                              aCold + "}",
                             ZoneRules::On,
                             &aIssues)
         ->mColdMs;
