A primary that ends before its replicas caught up takes no commit along

What callers would see, with syncReplicas 1: acknowledged commits are gone after two changes of primary in a row.

Cause: the bound on what was acknowledged rests on replicas that have received each commit. That is so for commits since the primary took over; of the earlier ones, it may be the only one that holds them.

Change: the group's record carries the end of the primary's log at the time it was found to lead, before any daemon used it. A target reaches that position too. If no listed database does, the group waits 12 s (recoveryS) for one that does, and then serves on with the longest log.

Test: PromotionTest::APrimaryThatEndsBeforeItsReplicasCaughtUpTakesNoCommitAlong, with a new coordinator in between; it fails if the position is left out of the choice.

--- a/include/sesameway/Leadership.h
+++ b/include/sesameway/Leadership.h
@@ -3,6 +3,7 @@
 #include "sesameway/NameTable.h"
 #include "sesameway/StoreRevision.h"
 #include "sesameway/Time.h"
+#include "sesameway/Token.h"
 
 #include <cstdint>
 #include <map>
@@ -60,6 +61,9 @@
   bool mIsOrderOpen = false;
   // The store's generation in which the record was written.
   std::uint64_t mGeneration = 0;
+  // The end of the primary's log when it was found to lead, before any daemon used it:
+  // nothing that was acknowledged earlier lies beyond. {0, 0} if it is not known.
+  LogPosition mTakenOverAt{};
   bool operator==(const GroupRecord&) const = default;
 };
 
--- a/include/sesameway/PromotionTarget.h
+++ b/include/sesameway/PromotionTarget.h
@@ -34,6 +34,9 @@
   // How many replicas have received a commit before it is acknowledged. 0 if commits
   // wait for none: then the group is to have a primary soon, whatever its log lacks.
   std::uint32_t mSyncReplicas = 0;
+  // The end of the old primary's log when it took over. Replicas that have not caught
+  // up with it since may lack commits that were acknowledged before.
+  LogPosition mTakenOverAt{};
   // The end of the old primary's log; none if it has not reported.
   std::optional<LogPosition> mOldPrimary;
   // Whether the old primary has answered lately, so that replicas may receive more from
@@ -45,6 +48,8 @@
   // the old primary's log.
   bool mIsReportTimeOver = false;
   bool mIsCatchUpTimeOver = false;
+  // Whether a database that is gone has had enough time to come back with its log.
+  bool mIsHolderTimeOver = false;
   // Whether every running database of the group is among the candidates. The list of a
   // coordinator that has just started may lack some.
   bool mIsListComplete = true;
@@ -60,7 +65,7 @@
   Reports,
   // Replicas are still receiving the old primary's log.
   CatchUp,
-  // The database that holds the acknowledged commits can't be promoted.
+  // The database that holds the acknowledged commits can't be promoted, or is gone.
   Holder,
   // An order to promote another database may still take effect.
   EarlierOrder,
@@ -69,8 +74,9 @@
   { "none", "no_candidate", "reports", "catch_up", "holder", "earlier_order" }
 };
 
-// Returns a log position that no acknowledged commit lies beyond, or none if too few
-// candidates have reported to know one. `aSyncReplicas` is at least 1.
+// Returns a log position that no commit lies beyond which was acknowledged since the
+// old primary took over, or none if too few candidates have reported to know one.
+// `aSyncReplicas` is at least 1.
 std::optional<LogPosition> AcknowledgedBound(
   const std::vector<PromotionCandidate>& aCandidates,
   std::uint32_t aSyncReplicas);
@@ -78,7 +84,7 @@
 // Returns the database to promote. If commits wait for replicas, its log holds every
 // acknowledged commit; a database that may not stay is then chosen if no other one
 // holds them. The group is left without a primary rather than without such a commit, as
-// long as a database that may hold it is listed.
+// long as a database that may hold it is listed, and a while longer.
 tl::expected<std::string, PromotionWait> ChoosePromotionTarget(
   const PromotionSurvey& aSurvey);
 
--- a/src/core/Leadership.cpp
+++ b/src/core/Leadership.cpp
@@ -87,6 +87,8 @@
   record.mTargetSequence = NumberIn(*table, "naming");
   record.mIsOrderOpen = (*table)["order_open"].value_or(false);
   record.mGeneration = NumberIn(*table, "generation");
+  record.mTakenOverAt = { NumberIn(*table, "taken_over_term"),
+                          NumberIn(*table, "taken_over_position") };
   return record;
 }
 
@@ -103,6 +105,8 @@
     { "naming", Signed(aRecord.mTargetSequence) },
     { "order_open", aRecord.mIsOrderOpen },
     { "generation", Signed(aRecord.mGeneration) },
+    { "taken_over_term", Signed(aRecord.mTakenOverAt.mTerm) },
+    { "taken_over_position", Signed(aRecord.mTakenOverAt.mPosition) },
   });
 }
 
--- a/src/core/Promotion.cpp
+++ b/src/core/Promotion.cpp
@@ -31,6 +31,10 @@
 // How long replicas have to receive the rest of the log from an old primary that still
 // answers.
 constexpr Duration kCatchUpLimit = milliseconds(1500);
+// How long a group waits for a database that holds acknowledged commits and whose entry
+// is gone to be listed again: the time within which a group is to serve again after a
+// loss (`recoveryS`).
+constexpr Duration kHolderReturnLimit = seconds(12);
 // How long databases have to report before the target is chosen among those that did.
 constexpr Duration kReportWait = milliseconds(400);
 // While it is not known how many replicas commits wait for, they may wait for one.
@@ -531,10 +535,12 @@
     }
     survey.mDoesOldPrimaryAnswer = aNow - old->second.mHeardAt < kReportAge;
   }
+  survey.mTakenOverAt = aRecord.mTakenOverAt;
   survey.mIsPlanned = mCause == Cause::Leaving || mCause == Cause::Evacuated;
   auto passed = aNow - mQuiescedAt;
   survey.mIsReportTimeOver = passed >= kReportWait;
   survey.mIsCatchUpTimeOver = passed >= kCatchUpLimit;
+  survey.mIsHolderTimeOver = passed >= kHolderReturnLimit;
   survey.mIsListComplete = aNow - mStartedAt > kMissingEntryGrace;
   return survey;
 }
@@ -571,6 +577,7 @@
   record.mIsOrderOpen = aNow < OrderEffectDeadlineAfterChange();
   record.mPrimary = found->mName;
   record.mTerm = term;
+  record.mTakenOverAt = mDatabases[found->mName].mReport.mReceived;
   if (Find(aClusterState, aRecord.mPrimary) != nullptr && aNow >= mWriteAgainAt) {
     aActions.emplace_back(OrderDemotion{ aRecord.mPrimary, term });
   }
--- a/src/core/PromotionTarget.cpp
+++ b/src/core/PromotionTarget.cpp
@@ -79,7 +79,8 @@
   if (!bound) {
     return tl::unexpected(PromotionWait::Reports);
   }
-  if (Holds(staying, *bound)) {
+  auto needed = std::max(*bound, aSurvey.mTakenOverAt);
+  if (Holds(staying, needed)) {
     return staying->mDatabase;
   }
   // In a planned change, a primary that may not stay would be replaced by another one
@@ -88,10 +89,18 @@
     return tl::unexpected(PromotionWait::CatchUp);
   }
   const auto* any = FindLongest(aSurvey, false);
-  if (Holds(any, *bound)) {
+  if (Holds(any, needed)) {
     return any->mDatabase;
   }
-  return tl::unexpected(PromotionWait::Holder);
+  const auto& candidates = aSurvey.mCandidates;
+  bool isHolderListed =
+    std::any_of(candidates.begin(), candidates.end(), [&](const auto& aIt) {
+      return aIt.mReceived && !(*aIt.mReceived < needed);
+    });
+  if (isHolderListed || !aSurvey.mIsHolderTimeOver) {
+    return tl::unexpected(PromotionWait::Holder);
+  }
+  return Holds(staying, *bound) ? staying->mDatabase : any->mDatabase;
 }
 
 } // namespace
--- a/test/core/LeadershipTest.cpp
+++ b/test/core/LeadershipTest.cpp
@@ -48,6 +48,7 @@
   {
     auto record = Record(GroupPhase::Changing, 4);
     record.mTarget = "i-2";
+    record.mTakenOverAt = { 3, 17 };
     CPPUNIT_ASSERT(ParseGroupRecord(FormatGroupRecord(record)) == record);
     CoordinatorRecord coordinator{ "a \"b\"", "10.0.0.1:1", 1ULL << 62, 3, 9,
                                    1,         seconds(3),   2 };
--- a/test/core/PromotionTest.cpp
+++ b/test/core/PromotionTest.cpp
@@ -492,6 +492,7 @@
   CPPUNIT_TEST(AReplicaThatMayHoldAcknowledgedCommitsIsWaitedFor);
   CPPUNIT_TEST(AReplicaThatIsGoneIsNotWaitedForWhereCommitsWait);
   CPPUNIT_TEST(ARefusedHolderIsNotPassedOver);
+  CPPUNIT_TEST(APrimaryThatEndsBeforeItsReplicasCaughtUpTakesNoCommitAlong);
   CPPUNIT_TEST(APlannedChangeWaitsForTheLeavingPrimarysLog);
   CPPUNIT_TEST(ACoordinatorThatDoesNotKnowWhetherCommitsWaitLosesNone);
   CPPUNIT_TEST(ANewCoordinatorLearnsAllReplicasWhereCommitsWait);
@@ -753,6 +754,32 @@
     CPPUNIT_ASSERT(world.RunUntilServedBy("i-1", seconds(6)));
   }
 
+  // Guards against the same loss in the change after: the replica that took over ends
+  // before another one has received what it alone holds. Its log comes back with
+  // another database, here i-0. If it doesn't, the group serves on without it.
+  void APrimaryThatEndsBeforeItsReplicasCaughtUpTakesNoCommitAlong()
+  {
+    for (bool isBack : { true, false }) {
+      World world(3);
+      LetAloneHold(world, "i-1");
+      world.At("i-1").mListed.mIsLeaving = true;
+      world.At("i-0").mIsUp = false;
+      CPPUNIT_ASSERT(world.RunUntilServedBy("i-1", seconds(4)));
+      world.At("i-0").mIsListed = false;
+      world.At("i-1").mIsUp = false;
+      world.At("i-1").mIsListed = false;
+      world.Run(seconds(1));
+      world.ReplaceCoordinator();
+      world.Run(seconds(7));
+      CPPUNIT_ASSERT_EQUAL(1, world.mOrders);
+      auto& returned = world.At("i-0");
+      returned.mReport.mRole = DatabaseRole::Replica;
+      returned.mIsUp = isBack;
+      returned.mIsListed = isBack;
+      CPPUNIT_ASSERT(world.RunUntilServedBy(isBack ? "i-0" : "i-2", seconds(10)));
+    }
+  }
+
   // Guards against the same loss in a planned change: the replicas are behind the
   // leaving primary for longer than a group without synchronous replicas waits.
   void APlannedChangeWaitsForTheLeavingPrimarysLog()
