A coordinator doesn't end when the platform refuses the last database

What callers would see: the coordinator's process ends by itself, and the next one too. With syncReplicas 1, the databases that hold what was acknowledged before the last takeover are gone for 12 s, and the platform refuses to promote the one that is left.

Change: after the wait the position that a target must reach falls back to the bound, and all that follows is the same choice.

--- a/src/core/PromotionTarget.cpp
+++ b/src/core/PromotionTarget.cpp
@@ -62,6 +62,19 @@
   return best->mDatabase;
 }
 
+// The position that a target's log must reach. What was acknowledged before the old
+// primary took over is given up once no listed database holds it and none has come back
+// with it in time.
+LogPosition NeededPosition(const PromotionSurvey& aSurvey, const LogPosition& aBound)
+{
+  const auto& candidates = aSurvey.mCandidates;
+  bool isHeld = std::any_of(candidates.begin(), candidates.end(), [&](const auto& aIt) {
+    return aIt.mReceived && !(*aIt.mReceived < aSurvey.mTakenOverAt);
+  });
+  bool isGivenUp = !isHeld && aSurvey.mIsHolderTimeOver;
+  return isGivenUp ? aBound : std::max(aBound, aSurvey.mTakenOverAt);
+}
+
 Choice ChooseWithoutLoss(const PromotionSurvey& aSurvey)
 {
   const auto* staying = FindLongest(aSurvey, true);
@@ -79,7 +92,7 @@
   if (!bound) {
     return tl::unexpected(PromotionWait::Reports);
   }
-  auto needed = std::max(*bound, aSurvey.mTakenOverAt);
+  auto needed = NeededPosition(aSurvey, *bound);
   if (Holds(staying, needed)) {
     return staying->mDatabase;
   }
@@ -92,15 +105,7 @@
   if (Holds(any, needed)) {
     return any->mDatabase;
   }
-  const auto& candidates = aSurvey.mCandidates;
-  bool isHolderListed =
-    std::any_of(candidates.begin(), candidates.end(), [&](const auto& aIt) {
-      return aIt.mReceived && !(*aIt.mReceived < needed);
-    });
-  if (isHolderListed || !aSurvey.mIsHolderTimeOver) {
-    return tl::unexpected(PromotionWait::Holder);
-  }
-  return Holds(staying, *bound) ? staying->mDatabase : any->mDatabase;
+  return tl::unexpected(PromotionWait::Holder);
 }
 
 } // namespace
--- a/test/core/PromotionTargetTest.cpp
+++ b/test/core/PromotionTargetTest.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(ABoundNeedsAllButTheReplicasThatCommitsWaitFor);
   CPPUNIT_TEST(WhereCommitsWaitForNoneTheGroupHasAPrimarySoon);
   CPPUNIT_TEST(AStayingReplicaIsPreferredIfItHoldsAllAcknowledgedCommits);
+  CPPUNIT_TEST(WhatWasGivenUpLeavesTheRestOfTheBound);
   CPPUNIT_TEST(NoChangeBeginsWithoutATargetInSight);
   CPPUNIT_TEST(NoChoiceLacksAnAcknowledgedCommit);
   CPPUNIT_TEST_SUITE_END();
@@ -68,6 +69,23 @@
     CPPUNIT_ASSERT(ChoosePromotionTarget(survey).error() == PromotionWait::Holder);
   }
 
+  // Guards against a coordinator that ends, or passes over a holder, when the platform
+  // refuses databases after the commits before the takeover were given up.
+  void WhatWasGivenUpLeavesTheRestOfTheBound()
+  {
+    PromotionSurvey survey;
+    survey.mSyncReplicas = 1;
+    survey.mTakenOverAt = { 1, 20 };
+    survey.mCandidates = { Reported("a", 9), Reported("b", 8) };
+    CPPUNIT_ASSERT(ChoosePromotionTarget(survey).error() == PromotionWait::Holder);
+    survey.mIsHolderTimeOver = true;
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), *ChoosePromotionTarget(survey));
+    survey.mCandidates[0].mIsRunning = false;
+    CPPUNIT_ASSERT(ChoosePromotionTarget(survey).error() == PromotionWait::Holder);
+    survey.mCandidates[1].mIsRunning = false;
+    CPPUNIT_ASSERT(ChoosePromotionTarget(survey).error() == PromotionWait::Holder);
+  }
+
   void NoChangeBeginsWithoutATargetInSight()
   {
     PromotionSurvey survey;
@@ -113,6 +131,9 @@
           auto end = acknowledged + *rc::gen::inRange<std::uint64_t>(0, 3);
           survey.mOldPrimary = LogPosition{ 1, end };
         }
+        auto takenOverAt = *rc::gen::inRange<std::uint64_t>(0, 14);
+        survey.mTakenOverAt = LogPosition{ 1, takenOverAt };
+        survey.mIsHolderTimeOver = *rc::gen::arbitrary<bool>();
         survey.mDoesOldPrimaryAnswer = *rc::gen::arbitrary<bool>();
         survey.mIsPlanned = *rc::gen::arbitrary<bool>();
         survey.mIsReportTimeOver = *rc::gen::arbitrary<bool>();
@@ -120,7 +141,10 @@
         auto choice = ChoosePromotionTarget(survey);
         RC_CLASSIFY(choice.has_value());
         if (choice) {
-          RC_ASSERT(logs.at(std::stoul(*choice)) >= acknowledged);
+          auto log = logs.at(std::stoul(*choice));
+          bool holdsOld = survey.mOldPrimary && log >= survey.mOldPrimary->mPosition;
+          RC_ASSERT(log >= acknowledged);
+          RC_ASSERT(log >= takenOverAt || survey.mIsHolderTimeOver || holdsOld);
         }
       });
     CPPUNIT_ASSERT(isHeld);
