--- a/test/core/PromotionTest.cpp
+++ b/test/core/PromotionTest.cpp
@@ -667,8 +667,8 @@
     CPPUNIT_ASSERT(world.RunUntilServedBy("i-2", seconds(2)));
   }
 
-  // A group whose commits wait for one replica: i-2 has received nothing for a while,
-  // i-1 everything that was acknowledged.
+  // A group whose commits wait for one replica: the one named has received everything
+  // that was acknowledged, the other one nothing for a while.
   static void LetAloneHold(World& aWorld, const std::string& aName)
   {
     aWorld.mSyncReplicas = 1;
