Log when a configuration was heard of, whole and in force, and from whom

The log could not tell a configuration that was distributed slowly from one that came from a source that was taken for up to date: it said neither the source, nor its age, nor when the first part had come. The line configuration now says source, peer, age of the source's contact, heard_ms, whole_ms, rank and level in the region's tree; object_begun says that a transfer begins; pulls.not_serving and pulls.begun_anew count.

--- a/include/sesameway/ObjectTransfer.h
+++ b/include/sesameway/ObjectTransfer.h
@@ -141,6 +141,8 @@
 public:
   // What to name in the next request.
   std::optional<ReceivedPart> Received() const;
+  // When the first piece of the object that was received last arrived.
+  TimePoint BegunAt() const { return mBegunAt; }
   // Adds the next piece. Returns the object once it is complete, no object before that.
   tl::expected<std::optional<StoredObject>, PieceError> Add(const ObjectPiece& aPiece,
                                                             TimePoint aNow);
@@ -152,6 +154,7 @@
   // The bytes received so far. They are released once the object is complete.
   std::string mBytes;
   bool mIsComplete = false;
+  TimePoint mBegunAt{};
   TimePoint mAddedAt{};
 };
 
--- a/include/sesameway/StoreWatchers.h
+++ b/include/sesameway/StoreWatchers.h
@@ -40,6 +40,10 @@
   // precedes this one, a different one after each; empty if this daemon is the first.
   std::string PeerToAsk() const;
   void OnNoAnswer() { ++mFailures; }
+  // Number of daemons that precede this one in its region, and number of daemons
+  // between this one and the store.
+  std::size_t Rank() const { return mPreceding.size(); }
+  int Level() const { return mLevel; }
   // Takes in an answer of that daemon. An answer whose contact with the store is old
   // counts as none: a parent that the store turns away can't help its children.
   void OnAnswer(TimePoint aContact, TimePoint aNow);
--- a/src/core/ObjectTransfer.cpp
+++ b/src/core/ObjectTransfer.cpp
@@ -159,6 +159,7 @@
     mId = aPiece.mId;
     mIsComplete = false;
     mBytes.clear();
+    mBegunAt = aNow;
   }
   if (mIsComplete || aPiece.mOffset != mBytes.size()) {
     return tl::make_unexpected(PieceError::OutOfPlace);
--- a/src/proxy/PeerPulls.cpp
+++ b/src/proxy/PeerPulls.cpp
@@ -69,11 +69,15 @@
                       ChangePull& aPull)
 {
   if (!aDelta.mIsServing) {
+    mMetrics.Count("pulls.not_serving");
     return false;
   }
   // An answer that brings nothing new does not lead to the next call: two peers that
   // are asked at the same time would otherwise both send everything.
-  auto& objects = aDelta.mChanges;
+  const auto& objects = aDelta.mChanges;
+  ObjectSource source{
+    SourceKind::Peer, aAddress, aAskedAt - aDelta.mContactAge, Clock::now()
+  };
   bool isNew = !objects.empty();
   std::size_t bytes = 0;
   for (const auto& it : objects) {
@@ -81,7 +85,7 @@
   }
   if (aDelta.mPiece) {
     bytes += aDelta.mPiece->mBytes.size();
-    isNew |= AddPiece(aAddress, *aDelta.mPiece, objects);
+    isNew |= AddPiece(*aDelta.mPiece, source);
   }
   mMetrics.Count("pulls.bytes", static_cast<std::int64_t>(bytes));
   if (!objects.empty()) {
@@ -93,34 +97,49 @@
                    .With("took_ms", Millis(Clock::now() - aAskedAt))
                    .With("peer_contact_age_ms", Millis(aDelta.mContactAge));
   }
-  mSync.Merge(objects,
-              aPull.OnAnswer(aDelta.mKindRevisions, aDelta.mIncompleteKinds),
-              aAskedAt - aDelta.mContactAge);
+  mSync.Merge(
+    objects, aPull.OnAnswer(aDelta.mKindRevisions, aDelta.mIncompleteKinds), source);
   mOnHeads(aDelta.mHeads, aAskedAt);
   return isNew && !aDelta.mIncompleteKinds.empty();
 }
 
-bool PeerPulls::AddPiece(const std::string& aAddress,
-                         const ObjectPiece& aPiece,
-                         std::vector<StoredObject>& aObjects)
+bool PeerPulls::AddPiece(const ObjectPiece& aPiece, ObjectSource aSource)
 {
-  auto object = mReceiver.Add(aPiece, Clock::now());
+  auto former = mReceiver.Received();
+  auto object = mReceiver.Add(aPiece, aSource.mHeardAt);
   if (!object) {
     if (object.error() != PieceError::OutOfPlace) {
       LOG(WARNING) << daemon::LogLine("piece_refused")
-                        .With("peer", aAddress)
+                        .With("peer", aSource.mPeer)
                         .With("object", aPiece.mId.mName)
                         .With("revision", aPiece.mId.mRevision)
                         .With("reason", kPieceErrorNames.Name(object.error()));
     }
     return false;
   }
+  if (aPiece.mOffset == 0) {
+    bool isAnew = former && !former->mIsComplete && former->mBytes != 0;
+    mMetrics.Count("pulls.begun_anew", isAnew ? 1 : 0);
+    LogBegin(aPiece, aSource);
+  }
   if (*object) {
-    aObjects.push_back(std::move(**object));
+    aSource.mHeardAt = mReceiver.BegunAt();
+    mSync.Merge(**object, aSource);
   }
   return true;
 }
 
+void PeerPulls::LogBegin(const ObjectPiece& aPiece, const ObjectSource& aSource)
+{
+  LOG(INFO) << daemon::LogLine("object_begun")
+                 .With("object", aPiece.mId.mName)
+                 .With("revision", aPiece.mId.mRevision)
+                 .With("bytes", aPiece.mSize)
+                 .With("peer", aSource.mPeer)
+                 .With("peer_contact_age_ms",
+                       Millis(aSource.mHeardAt - aSource.mContact));
+}
+
 void PeerPulls::LogFailure(const std::string& aAddress, TimePoint aAskedAt)
 {
   mMetrics.Count("pulls.failed");
--- a/src/proxy/PeerPulls.h
+++ b/src/proxy/PeerPulls.h
@@ -37,11 +37,10 @@
              peer::CatalogueDelta aDelta,
              TimePoint aAskedAt,
              ChangePull& aPull);
-  // Adds a piece of an object, and the object to `aObjects` if it is complete. Returns
+  // Adds a piece of an object, and merges the object once it is complete. Returns
   // whether the piece was new.
-  bool AddPiece(const std::string& aAddress,
-                const ObjectPiece& aPiece,
-                std::vector<StoredObject>& aObjects);
+  bool AddPiece(const ObjectPiece& aPiece, ObjectSource aSource);
+  void LogBegin(const ObjectPiece& aPiece, const ObjectSource& aSource);
   void LogFailure(const std::string& aAddress, TimePoint aAskedAt);
 
   Loop& mLoop;
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -126,7 +126,9 @@
                       [this](daemon::ShareSnapshotPtr aSnapshot) {
                         mAdmission->OnShareSnapshot(std::move(aSnapshot));
                       });
-  mSync.Start({ [this](const StoredObject& aObject) { OnChange(aObject); },
+  mSync.Start({ [this](const StoredObject& aObject, const ObjectSource& aSource) {
+                 OnChange(aObject, aSource);
+               },
                 [this](TimePoint aContact) { OnContact(aContact); },
                 [this] { OnInitialSync(); } });
   Tick();
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -111,8 +111,8 @@
                   std::function<void(peer::LinkOffer)> aDone) override;
 
 private:
-  void OnChange(const StoredObject& aObject);
-  void OnConfiguration(const StoredObject& aObject);
+  void OnChange(const StoredObject& aObject, const ObjectSource& aSource);
+  void OnConfiguration(const StoredObject& aObject, const ObjectSource& aSource);
   void OnDatabase(const StoredObject& aObject);
   void OnEvacuation(const StoredObject& aObject);
   void OnOwnObject(const StoredObject& aObject);
--- a/src/proxy/ProxyStore.cpp
+++ b/src/proxy/ProxyStore.cpp
@@ -45,11 +45,11 @@
   mGeneration = generation;
 }
 
-void Proxy::OnChange(const StoredObject& aObject)
+void Proxy::OnChange(const StoredObject& aObject, const ObjectSource& aSource)
 {
   auto kind = KindOf(aObject.mName);
   if (aObject.mName == mAdapters.mConfigurationObject) {
-    OnConfiguration(aObject);
+    OnConfiguration(aObject, aSource);
   } else if (kind == mAdapters.mDatabaseKind) {
     OnDatabase(aObject);
   } else if (!kind.empty() && kind == mAdapters.mEvacuationKind) {
@@ -59,11 +59,12 @@
   }
 }
 
-void Proxy::OnConfiguration(const StoredObject& aObject)
+void Proxy::OnConfiguration(const StoredObject& aObject, const ObjectSource& aSource)
 {
   if (aObject.mDeleted) {
     return;
   }
+  auto receivedAt = Clock::now();
   auto catalogue = mAdapters.mReadConfiguration(aObject);
   if (!catalogue) {
     LOG(WARNING) << daemon::LogLine("configuration_rejected")
@@ -79,17 +80,26 @@
     return;
   }
   mCatalogue = std::make_shared<const Catalogue>(std::move(*catalogue));
+  mFleet.SetCatalogue(mCatalogue);
+  mAdmission->OnCatalogue(*mCatalogue);
+  EndWithdrawnGrants();
+  auto now = Clock::now();
   LOG(INFO) << daemon::LogLine("configuration")
                  .With("revision", aObject.mRevision)
                  .With("version", mCatalogue->mVersion)
                  .With("synced_revision", mSync.Revision())
-                 .With("contact_age_ms", Millis(Clock::now() - mSync.Contact()))
+                 .With("contact_age_ms", Millis(now - mSync.Contact()))
+                 .With("source", kSourceKindNames.Name(aSource.mKind))
+                 .With("peer", aSource.mPeer)
+                 .With("source_contact_age_ms", Millis(now - aSource.mContact))
+                 .With("heard_ms", Millis(now - aSource.mHeardAt))
+                 .With("whole_ms", Millis(now - receivedAt))
+                 .With("rank", mWatchers.Rank())
+                 .With("level", mWatchers.Level())
+                 .With("bytes", aObject.mBody.size())
                  .With("routes", mCatalogue->mRoutes.size())
                  .With("keys", mCatalogue->mKeys.size())
                  .With("organisations", mCatalogue->mOrganisations.size());
-  mFleet.SetCatalogue(mCatalogue);
-  mAdmission->OnCatalogue(*mCatalogue);
-  EndWithdrawnGrants();
 }
 
 void Proxy::OnDatabase(const StoredObject& aObject)
--- a/src/proxy/StoreSync.cpp
+++ b/src/proxy/StoreSync.cpp
@@ -40,9 +40,9 @@
 
 void StoreSync::Merge(const std::vector<StoredObject>& aObjects,
                       const KindRevisions& aRevisions,
-                      TimePoint aContact)
+                      const ObjectSource& aSource)
 {
-  ApplyAll(aObjects);
+  ApplyAll(aObjects, aSource);
   for (auto& it : mStates) {
     auto revision = aRevisions.find(it->mKind.mName);
     if (revision == aRevisions.end()) {
@@ -54,10 +54,15 @@
   }
   CheckInitialSync();
   if (aRevisions.count(kOwnKind) != 0) {
-    NoteContact(aContact);
+    NoteContact(aSource.mContact);
   }
 }
 
+void StoreSync::Merge(const StoredObject& aObject, const ObjectSource& aSource)
+{
+  ApplyAll({ aObject }, aSource);
+}
+
 void StoreSync::SetFollowing(bool aIsFollowing)
 {
   mIsFollowing = aIsFollowing;
@@ -72,7 +77,8 @@
 void StoreSync::Apply(const std::optional<platform::PutResult>& aResult)
 {
   if (aResult && aResult->mObject.mRevision != 0) {
-    ApplyAll({ aResult->mObject });
+    auto now = Clock::now();
+    ApplyAll({ aResult->mObject }, { SourceKind::Write, {}, now, now });
   }
 }
 
@@ -146,8 +152,9 @@
                      changed = mTable.ApplyListing(
                        aState.mKind.mName, aListing->mObjects, aListing->mRevision);
                    }
+                   ObjectSource source{ SourceKind::Listing, {}, sentAt, Clock::now() };
                    for (const auto& it : changed) {
-                     mListener.mOnChange(it);
+                     mListener.mOnChange(it, source);
                    }
                    aState.mIsListed = true;
                    OnSuccess(aState, aListing->mRevision, sentAt);
@@ -180,7 +187,7 @@
       }
       auto& objects = aChanges->mObjects;
       RaiseRemovalRevisions(objects, aChanges->mRevision);
-      ApplyAll(objects);
+      ApplyAll(objects, { SourceKind::Watch, {}, sentAt, Clock::now() });
       OnSuccess(aState, aChanges->mRevision, sentAt);
       Follow(aState);
     });
@@ -226,7 +233,8 @@
   }
 }
 
-void StoreSync::ApplyAll(const std::vector<StoredObject>& aObjects)
+void StoreSync::ApplyAll(const std::vector<StoredObject>& aObjects,
+                         const ObjectSource& aSource)
 {
   for (const auto& it : aObjects) {
     bool isNew = false;
@@ -235,7 +243,7 @@
       isNew = mTable.Apply(it);
     }
     if (isNew) {
-      mListener.mOnChange(it);
+      mListener.mOnChange(it, aSource);
     }
   }
 }
--- a/src/proxy/StoreSync.h
+++ b/src/proxy/StoreSync.h
@@ -2,6 +2,7 @@
 
 #include "platform/Platform.h"
 #include "proxy/Loop.h"
+#include "sesameway/NameTable.h"
 #include "sesameway/ObjectTransfer.h"
 
 #include <functional>
@@ -16,6 +17,30 @@
 // primaries, the coordinator and the member records.
 inline constexpr const char* kOwnKind = "sesameway";
 
+// How a version of an object reached this daemon.
+enum class SourceKind
+{
+  Listing,
+  Watch,
+  // The answer to a write of this daemon.
+  Write,
+  Peer,
+};
+inline constexpr NameTable<SourceKind, 4> kSourceKindNames{
+  { "listing", "watch", "write", "peer" }
+};
+
+struct ObjectSource
+{
+  SourceKind mKind = SourceKind::Listing;
+  // Address of the peer; empty if the store itself answered.
+  std::string mPeer;
+  // The source had all changes of its own objects that were made before this time.
+  TimePoint mContact{};
+  // When the first part of the version arrived.
+  TimePoint mHeardAt{};
+};
+
 // Keeps a local copy of the store's objects: lists each kind once, then follows its
 // changes. Copies received from peer daemons are merged in. Used on the event loop's
 // thread, except for the functions marked otherwise. mMutex is never locked while
@@ -31,7 +56,7 @@
   };
   struct Listener
   {
-    std::function<void(const StoredObject&)> mOnChange;
+    std::function<void(const StoredObject&, const ObjectSource&)> mOnChange;
     // Called when all changes of kOwnKind that were made before the given time have
     // been applied.
     std::function<void(TimePoint)> mOnContact;
@@ -42,10 +67,12 @@
   StoreSync(Loop& aLoop, platform::ChangeFeed& aFeed, std::vector<Kind> aKinds);
   void Start(Listener aListener);
   // Merges a peer's objects. The kinds in `aRevisions` are complete up to the given
-  // revision, and reflect the store at the time `aContact`.
+  // revision, and reflect the store at the time of the source's contact.
   void Merge(const std::vector<StoredObject>& aObjects,
              const KindRevisions& aRevisions,
-             TimePoint aContact);
+             const ObjectSource& aSource);
+  // Merges one object of which nothing else is known.
+  void Merge(const StoredObject& aObject, const ObjectSource& aSource);
   // Applies the object that a write found or left in the store. Does nothing if the
   // store did not answer or holds no such object.
   void Apply(const std::optional<platform::PutResult>& aResult);
@@ -92,7 +119,7 @@
   void Follow(State& aState);
   void OnFailure(State& aState);
   void OnSuccess(State& aState, std::uint64_t aRevision, TimePoint aSentAt);
-  void ApplyAll(const std::vector<StoredObject>& aObjects);
+  void ApplyAll(const std::vector<StoredObject>& aObjects, const ObjectSource& aSource);
   void NoteContact(TimePoint aContact);
   void CheckInitialSync();
 
