The core decides which calls to the store are due

StoreSync mixed the calls with the decision which of them to make, on a loop and a real clock, so that no test could simulate it. FollowedKinds takes the time as an argument and returns the calls; StoreSync makes them. No change of behaviour is meant: lists until each kind has come from the store or a peer, one watch a kind while the store is followed, and after a failure the other kinds wait for the daemons' own.

--- a/src/proxy/PeerPulls.cpp
+++ b/src/proxy/PeerPulls.cpp
@@ -97,8 +97,9 @@
                    .With("took_ms", Millis(Clock::now() - aAskedAt))
                    .With("peer_contact_age_ms", Millis(aDelta.mContactAge));
   }
-  mSync.Merge(
-    objects, aPull.OnAnswer(aDelta.mKindRevisions, aDelta.mIncompleteKinds), source);
+  mSync.Merge(objects,
+              aPull.OnAnswer(aDelta.mKindRevisions, aDelta.mIncompleteKinds),
+              source);
   mOnHeads(aDelta.mHeads, aAskedAt);
   return isNew && !aDelta.mIncompleteKinds.empty();
 }
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -25,9 +25,9 @@
 
 // Each kind that is followed costs calls to the store, so evacuations are followed only
 // if they are handled.
-std::vector<StoreSync::Kind> FollowedKinds(const Proxy::Adapters& aAdapters)
+std::vector<FollowedKind> KindsToFollow(const Proxy::Adapters& aAdapters)
 {
-  std::vector<StoreSync::Kind> kinds{
+  std::vector<FollowedKind> kinds{
     { kOwnKind, kOwnKindPollTimeout },
     { std::string(KindOf(aAdapters.mConfigurationObject)), kOtherKindPollTimeout },
     { aAdapters.mDatabaseKind, kOtherKindPollTimeout },
@@ -81,7 +81,7 @@
                                                        mMetrics,
                                                        mAdapters.mStore,
                                                        mSelf))
-  , mSync(aLoop, *mAdapters.mFeed, FollowedKinds(mAdapters))
+  , mSync(aLoop, *mAdapters.mFeed, KindsToFollow(mAdapters))
   , mFleet(aLoop,
            *mAdapters.mDatabases,
            mSettings,
--- a/src/proxy/StoreSync.cpp
+++ b/src/proxy/StoreSync.cpp
@@ -3,39 +3,24 @@
 #include "daemon/Log.h"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace sesameway::proxy {
 
-namespace {
-
-constexpr Duration kListTimeout = milliseconds(1500);
-// Pause after a failed call. It doubles with each consecutive failure up to
-// kRetryLimit.
-constexpr Duration kRetryFloor = milliseconds(150);
-constexpr Duration kRetryLimit = milliseconds(800);
-
-} // namespace
-
-StoreSync::StoreSync(Loop& aLoop, platform::ChangeFeed& aFeed, std::vector<Kind> aKinds)
+StoreSync::StoreSync(Loop& aLoop,
+                     platform::ChangeFeed& aFeed,
+                     std::vector<FollowedKind> aKinds)
   : mLoop(aLoop)
   , mFeed(aFeed)
+  , mFollowed(std::move(aKinds))
+  , mNextCall(aLoop)
 {
-  for (auto& it : aKinds) {
-    auto state = std::make_unique<State>();
-    state->mKind = std::move(it);
-    state->mRetry = std::make_unique<Timer>(mLoop);
-    mStates.push_back(std::move(state));
-  }
 }
 
 void StoreSync::Start(Listener aListener)
 {
   mListener = std::move(aListener);
-  for (auto& it : mStates) {
-    List(*it);
-  }
+  MakeCalls();
 }
 
 void StoreSync::Merge(const std::vector<StoredObject>& aObjects,
@@ -43,19 +28,8 @@
                       const ObjectSource& aSource)
 {
   ApplyAll(aObjects, aSource);
-  for (auto& it : mStates) {
-    auto revision = aRevisions.find(it->mKind.mName);
-    if (revision == aRevisions.end()) {
-      continue;
-    }
-    // A listing from the store replaces these objects when it arrives.
-    it->mRevision = std::max(it->mRevision, revision->second);
-    it->mIsListed |= revision->second != 0;
-  }
-  CheckInitialSync();
-  if (aRevisions.count(kOwnKind) != 0) {
-    NoteContact(aSource.mContact);
-  }
+  mFollowed.OnPeerAnswer(aRevisions, aSource.mContact);
+  Publish();
 }
 
 void StoreSync::Merge(const StoredObject& aObject, const ObjectSource& aSource)
@@ -65,13 +39,8 @@
 
 void StoreSync::SetFollowing(bool aIsFollowing)
 {
-  mIsFollowing = aIsFollowing;
-  for (auto& it : mStates) {
-    it->mWaitsForStore &= aIsFollowing;
-    if (aIsFollowing && !it->mIsActive && !it->mWaitsForStore) {
-      Follow(*it);
-    }
-  }
+  mFollowed.SetFollowing(aIsFollowing);
+  MakeCalls();
 }
 
 void StoreSync::Apply(const std::optional<platform::PutResult>& aResult)
@@ -90,12 +59,9 @@
 
 std::uint64_t StoreSync::OwnRevision() const
 {
-  for (const auto& it : mStates) {
-    if (it->mKind.mName == kOwnKind) {
-      return it->mRevision;
-    }
-  }
-  return 0;
+  auto revisions = mFollowed.Revisions();
+  auto own = revisions.find(kOwnKind);
+  return own == revisions.end() ? 0 : own->second;
 }
 
 KindRevisions StoreSync::Revisions() const
@@ -135,102 +101,102 @@
   return mContact;
 }
 
-void StoreSync::List(State& aState)
+void StoreSync::MakeCalls()
 {
-  aState.mIsActive = true;
-  auto sentAt = Clock::now();
-  mFeed.ListKind(aState.mKind.mName,
-                 sentAt + kListTimeout,
-                 [this, &aState, sentAt](std::optional<platform::Listing> aListing) {
-                   if (!aListing) {
-                     OnFailure(aState);
-                     return;
-                   }
-                   std::vector<StoredObject> changed;
-                   {
-                     std::lock_guard lock(mMutex);
-                     changed = mTable.ApplyListing(
-                       aState.mKind.mName, aListing->mObjects, aListing->mRevision);
-                   }
-                   ObjectSource source{ SourceKind::Listing, {}, sentAt, Clock::now() };
-                   for (const auto& it : changed) {
-                     mListener.mOnChange(it, source);
-                   }
-                   aState.mIsListed = true;
-                   OnSuccess(aState, aListing->mRevision, sentAt);
-                   Follow(aState);
+  for (const auto& it : mFollowed.Due(Clock::now())) {
+    it.mType == StoreCallType::List ? List(it) : Watch(it);
+  }
+  auto next = mFollowed.NextDue();
+  if (next) {
+    mNextCall.Set(*next, [this] { MakeCalls(); });
+  }
+}
+
+void StoreSync::List(const StoreCall& aCall)
+{
+  mFeed.ListKind(aCall.mKind,
+                 aCall.mDeadline,
+                 [this, kind = aCall.mKind, sentAt = Clock::now()](
+                   const std::optional<platform::Listing>& aListing) {
+                   OnListing(kind, aListing, sentAt);
+                   MakeCalls();
                  });
 }
 
-void StoreSync::Follow(State& aState)
+void StoreSync::Watch(const StoreCall& aCall)
 {
-  aState.mIsActive = mIsFollowing;
-  if (!mIsFollowing) {
-    return;
-  }
-  auto sentAt = Clock::now();
   mFeed.ChangesAfter(
-    aState.mKind.mName,
-    aState.mRevision,
-    sentAt + aState.mKind.mPollTimeout,
-    [this, &aState, sentAt](std::optional<platform::Changes> aChanges) {
-      if (!aChanges) {
-        OnFailure(aState);
-        return;
-      }
-      if (aChanges->mIsHistoryGone) {
-        LOG(INFO) << daemon::LogLine("store_history_gone")
-                       .With("kind", aState.mKind.mName)
-                       .With("revision", aState.mRevision);
-        List(aState);
-        return;
-      }
-      auto& objects = aChanges->mObjects;
-      RaiseRemovalRevisions(objects, aChanges->mRevision);
-      ApplyAll(objects, { SourceKind::Watch, {}, sentAt, Clock::now() });
-      OnSuccess(aState, aChanges->mRevision, sentAt);
-      Follow(aState);
+    aCall.mKind,
+    aCall.mRevision,
+    aCall.mDeadline,
+    [this, aCall, sentAt = Clock::now()](std::optional<platform::Changes> aChanges) {
+      OnChanges(aCall, std::move(aChanges), sentAt);
+      MakeCalls();
     });
 }
 
-void StoreSync::OnFailure(State& aState)
+void StoreSync::OnListing(const std::string& aKind,
+                          const std::optional<platform::Listing>& aListing,
+                          TimePoint aSentAt)
 {
-  if (!mIsStoreUnreachable) {
-    mIsStoreUnreachable = true;
-    LOG(WARNING) << daemon::LogLine("store_lost").With("kind", aState.mKind.mName);
+  if (!aListing) {
+    OnFailure(aKind);
+    return;
+  }
+  std::vector<StoredObject> changed;
+  {
+    std::lock_guard lock(mMutex);
+    changed = mTable.ApplyListing(aKind, aListing->mObjects, aListing->mRevision);
   }
-  // One kind is enough to learn whether the store answers again.
-  if (aState.mIsListed && aState.mKind.mName != kOwnKind) {
-    aState.mIsActive = false;
-    aState.mWaitsForStore = true;
+  ObjectSource source{ SourceKind::Listing, {}, aSentAt, Clock::now() };
+  for (const auto& it : changed) {
+    mListener.mOnChange(it, source);
+  }
+  OnSuccess(aKind, aListing->mRevision, aSentAt);
+}
+
+void StoreSync::OnChanges(const StoreCall& aCall,
+                          std::optional<platform::Changes> aChanges,
+                          TimePoint aSentAt)
+{
+  if (!aChanges) {
+    OnFailure(aCall.mKind);
     return;
   }
-  auto pause = ExponentialBackoff(kRetryFloor, aState.mFailures++, kRetryLimit);
-  aState.mRetry->Set(Clock::now() + pause, [this, &aState] {
-    aState.mIsListed ? Follow(aState) : List(aState);
-  });
+  if (aChanges->mIsHistoryGone) {
+    LOG(INFO) << daemon::LogLine("store_history_gone")
+                   .With("kind", aCall.mKind)
+                   .With("revision", aCall.mRevision);
+    mFollowed.OnHistoryGone(aCall.mKind);
+    return;
+  }
+  auto& objects = aChanges->mObjects;
+  RaiseRemovalRevisions(objects, aChanges->mRevision);
+  ApplyAll(objects, { SourceKind::Watch, {}, aSentAt, Clock::now() });
+  OnSuccess(aCall.mKind, aChanges->mRevision, aSentAt);
 }
 
-void StoreSync::OnSuccess(State& aState, std::uint64_t aRevision, TimePoint aSentAt)
+void StoreSync::OnFailure(const std::string& aKind)
+{
+  if (!mIsStoreUnreachable) {
+    mIsStoreUnreachable = true;
+    LOG(WARNING) << daemon::LogLine("store_lost").With("kind", aKind);
+  }
+  mFollowed.OnFailure(aKind, Clock::now());
+}
+
+void StoreSync::OnSuccess(const std::string& aKind,
+                          std::uint64_t aRevision,
+                          TimePoint aSentAt)
 {
   if (mIsStoreUnreachable) {
     mIsStoreUnreachable = false;
     LOG(INFO) << daemon::LogLine("store_regained")
-                   .With("kind", aState.mKind.mName)
+                   .With("kind", aKind)
                    .With("revision", aRevision);
   }
-  aState.mFailures = 0;
-  aState.mRevision = std::max(aState.mRevision, aRevision);
-  CheckInitialSync();
-  if (aState.mKind.mName != kOwnKind) {
-    return;
-  }
-  NoteContact(aSentAt);
-  for (auto& it : mStates) {
-    if (std::exchange(it->mWaitsForStore, false)) {
-      Follow(*it);
-    }
-  }
+  mFollowed.OnAnswer(aKind, aRevision, aSentAt);
+  Publish();
 }
 
 void StoreSync::ApplyAll(const std::vector<StoredObject>& aObjects,
@@ -248,38 +214,25 @@
   }
 }
 
-void StoreSync::NoteContact(TimePoint aContact)
+void StoreSync::Publish()
 {
+  auto contact = mFollowed.Contact();
+  bool isNewer = false;
   {
     std::lock_guard lock(mMutex);
-    if (aContact <= mContact) {
-      return;
-    }
-    mContact = aContact;
+    mRevision = mFollowed.Revision();
+    mKindRevisions = mFollowed.Revisions();
   }
-  mListener.mOnContact(aContact);
-}
-
-void StoreSync::CheckInitialSync()
-{
-  auto revision = std::numeric_limits<std::uint64_t>::max();
-  bool isKnown = true;
-  KindRevisions kinds;
-  for (const auto& it : mStates) {
-    isKnown &= it->mIsListed;
-    revision = std::min(revision, it->mRevision);
-    if (it->mIsListed) {
-      kinds[it->mKind.mName] = it->mRevision;
-    }
+  if (mFollowed.IsComplete() && !mIsInitialized) {
+    mIsInitialized = true;
+    mListener.mOnInitialSync();
   }
   {
     std::lock_guard lock(mMutex);
-    mRevision = revision;
-    mKindRevisions = std::move(kinds);
+    isNewer = contact > std::exchange(mContact, std::max(mContact, contact));
   }
-  if (isKnown && !mIsInitialized) {
-    mIsInitialized = true;
-    mListener.mOnInitialSync();
+  if (isNewer) {
+    mListener.mOnContact(contact);
   }
 }
 
--- a/src/proxy/StoreSync.h
+++ b/src/proxy/StoreSync.h
@@ -2,6 +2,7 @@
 
 #include "platform/Platform.h"
 #include "proxy/Loop.h"
+#include "sesameway/FollowedKinds.h"
 #include "sesameway/NameTable.h"
 #include "sesameway/ObjectTransfer.h"
 
@@ -48,12 +49,6 @@
 class StoreSync
 {
 public:
-  struct Kind
-  {
-    std::string mName;
-    // Timeout of one call that waits for changes.
-    Duration mPollTimeout{};
-  };
   struct Listener
   {
     std::function<void(const StoredObject&, const ObjectSource&)> mOnChange;
@@ -64,7 +59,8 @@
     std::function<void()> mOnInitialSync;
   };
 
-  StoreSync(Loop& aLoop, platform::ChangeFeed& aFeed, std::vector<Kind> aKinds);
+  // The first kind is kOwnKind.
+  StoreSync(Loop& aLoop, platform::ChangeFeed& aFeed, std::vector<FollowedKind> aKinds);
   void Start(Listener aListener);
   // Merges a peer's objects. The kinds in `aRevisions` are complete up to the given
   // revision, and reflect the store at the time of the source's contact.
@@ -80,7 +76,7 @@
   // Whether to follow the store's changes. Otherwise, and until the first listing,
   // objects come only from peers. Calls in progress are not cancelled.
   void SetFollowing(bool aIsFollowing);
-  bool IsFollowing() const { return mIsFollowing; }
+  bool IsFollowing() const { return mFollowed.IsFollowing(); }
 
   // The functions below may be called from any thread unless stated otherwise. Revision
   // returns the revision up to which all changes have been applied.
@@ -102,34 +98,30 @@
   TimePoint Contact() const;
 
 private:
-  struct State
-  {
-    Kind mKind;
-    std::uint64_t mRevision = 0;
-    bool mIsListed = false;
-    // Whether a call is in progress or scheduled by the retry timer.
-    bool mIsActive = false;
-    // Whether the kind is followed again once a call for kOwnKind has been answered.
-    bool mWaitsForStore = false;
-    int mFailures = 0;
-    std::unique_ptr<Timer> mRetry;
-  };
-
-  void List(State& aState);
-  void Follow(State& aState);
-  void OnFailure(State& aState);
-  void OnSuccess(State& aState, std::uint64_t aRevision, TimePoint aSentAt);
+  // Makes the calls to the store that are due.
+  void MakeCalls();
+  void List(const StoreCall& aCall);
+  void Watch(const StoreCall& aCall);
+  void OnListing(const std::string& aKind,
+                 const std::optional<platform::Listing>& aListing,
+                 TimePoint aSentAt);
+  void OnChanges(const StoreCall& aCall,
+                 std::optional<platform::Changes> aChanges,
+                 TimePoint aSentAt);
+  void OnFailure(const std::string& aKind);
+  void OnSuccess(const std::string& aKind, std::uint64_t aRevision, TimePoint aSentAt);
   void ApplyAll(const std::vector<StoredObject>& aObjects, const ObjectSource& aSource);
-  void NoteContact(TimePoint aContact);
-  void CheckInitialSync();
+  // Publishes what mFollowed says after an answer, to other threads and to the
+  // listener.
+  void Publish();
 
   Loop& mLoop;
   platform::ChangeFeed& mFeed;
   Listener mListener;
-  // The addresses of the elements must stay valid, because callbacks refer to them.
-  std::vector<std::unique_ptr<State>> mStates;
+  // Used on the event loop's thread only.
+  FollowedKinds mFollowed;
+  Timer mNextCall;
   bool mIsInitialized = false;
-  bool mIsFollowing = false;
   bool mIsStoreUnreachable = false;
   mutable std::mutex mMutex;
   ObjectTable mTable;
