A daemon is as up to date as the kind of object that is most behind

Callers may be served by an old configuration for as long as a daemon's calls to the store for it fail or hang while those for the daemons' own kind are answered: all daemons below it in the region's tree keep it too.

Cause: contact was taken from the own kind alone, and an answer to a peer stated one age for all kinds. So nobody took the watch over, and no other peer was asked.

Evidence: StoreRegionTest, a simulated region of 98 daemons.

Change: contact is kept and passed on by kind. Takeover of watches, choice of the peer and pulls from others go by the kind that is most behind, less the time that its own calls may wait; parts of an object that arrive count for 3 s. Primaries are still used on the own kind's contact alone.

Why it works: an age that is passed on can now only be that of the kind itself, so a daemon whose configuration is old is seen to be, by itself and by its children, which then ask others that are not below it, or the store.

Not shown: that this is what the users saw on the large deployment.

--- a/include/sesameway/FollowedKinds.h
+++ b/include/sesameway/FollowedKinds.h
@@ -4,6 +4,7 @@
 #include "sesameway/Time.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -11,6 +12,10 @@
 
 namespace sesameway {
 
+// The time up to which all changes of each kind are known, and how long ago that was.
+using KindContacts = std::map<std::string, TimePoint, std::less<>>;
+using KindAges = std::map<std::string, Duration, std::less<>>;
+
 // A kind of the store's objects that a daemon keeps a copy of.
 struct FollowedKind
 {
@@ -60,8 +65,10 @@
   void OnHistoryGone(std::string_view aKind);
   void OnFailure(std::string_view aKind, TimePoint aNow);
   // Takes in a peer's answer, whose objects have been applied. It was complete for the
-  // kinds in `aRevisions`, and reflects the store at the time `aContact`.
-  void OnPeerAnswer(const KindRevisions& aRevisions, TimePoint aContact);
+  // kinds in `aRevisions`, and reflects each of them at its time in `aContacts`.
+  void OnPeerAnswer(const KindRevisions& aRevisions, const KindContacts& aContacts);
+  // Notes that a part of an object of the kind has been received from a peer.
+  void OnProgress(std::string_view aKind, TimePoint aNow);
 
   // Whether each kind has been received.
   bool IsComplete() const;
@@ -71,6 +78,13 @@
   KindRevisions Revisions() const;
   // The latest time at which no change of the first kind is known to have been missing.
   TimePoint Contact() const { return mKinds.front().mContact; }
+  // The same for each kind that has been received.
+  KindContacts Contacts() const;
+  // How recent this daemon's information is as a whole: the contact of the kind that is
+  // most behind. A kind whose calls wait longer than those of the first kind may be
+  // behind by the difference, and one that is being received counts as recent for a
+  // while.
+  TimePoint OldestContact() const;
 
 private:
   struct State
@@ -78,6 +92,9 @@
     FollowedKind mKind;
     std::uint64_t mRevision = 0;
     TimePoint mContact{};
+    // The first and the latest part that has been received since the last contact.
+    TimePoint mPartsSince{};
+    TimePoint mPartAt{};
     bool mIsReceived = false;
     bool mMustList = true;
     bool mIsCalling = false;
@@ -88,6 +105,7 @@
   };
 
   State& Find(std::string_view aKind);
+  static void NoteContact(State& aState, TimePoint aContact);
   bool IsWanted(const State& aState) const;
 
   std::vector<State> mKinds;
--- a/proto/peer.capnp
+++ b/proto/peer.capnp
@@ -70,9 +70,12 @@
 }
 
 # The revision up to which the sender has all changes of the store's objects of a kind.
+# In an answer, `contactAgeUs` is the time since the sender last knew that this revision
+# was the newest; senders of former versions do not say it.
 struct KindRevision {
   kind @0 :Text;
   revision @1 :UInt64;
+  contactAgeUs @2 :UInt64 = 0xffffffffffffffff;
 }
 
 # The end of a group's log, as reported by its primary. The log ended there at some time
--- a/src/core/FollowedKinds.cpp
+++ b/src/core/FollowedKinds.cpp
@@ -13,6 +13,9 @@
 // kRetryLimit.
 constexpr Duration kRetryFloor = milliseconds(150);
 constexpr Duration kRetryLimit = milliseconds(800);
+// How long a kind counts as recent while parts of one of its objects arrive. After that
+// the daemon looks for another source.
+constexpr Duration kReceiveTime = seconds(3);
 
 } // namespace
 
@@ -38,6 +41,13 @@
   }
 }
 
+void FollowedKinds::NoteContact(State& aState, TimePoint aContact)
+{
+  aState.mContact = std::max(aState.mContact, aContact);
+  aState.mPartsSince = TimePoint{};
+  aState.mPartAt = TimePoint{};
+}
+
 bool FollowedKinds::IsWanted(const State& aState) const
 {
   return !aState.mIsCalling && !aState.mWaitsForStore &&
@@ -85,7 +95,7 @@
   state.mMustList = false;
   state.mFailures = 0;
   state.mRevision = std::max(state.mRevision, aRevision);
-  state.mContact = std::max(state.mContact, aSentAt);
+  NoteContact(state, aSentAt);
   if (&state == &mKinds.front()) {
     for (auto& it : mKinds) {
       it.mWaitsForStore = false;
@@ -115,7 +125,8 @@
 }
 
 // A listing that is in progress replaces what the peer sent when it arrives.
-void FollowedKinds::OnPeerAnswer(const KindRevisions& aRevisions, TimePoint aContact)
+void FollowedKinds::OnPeerAnswer(const KindRevisions& aRevisions,
+                                 const KindContacts& aContacts)
 {
   for (auto& it : mKinds) {
     auto revision = aRevisions.find(it.mKind.mName);
@@ -123,7 +134,10 @@
       continue;
     }
     it.mRevision = std::max(it.mRevision, revision->second);
-    it.mContact = std::max(it.mContact, aContact);
+    auto contact = aContacts.find(it.mKind.mName);
+    if (contact != aContacts.end()) {
+      NoteContact(it, contact->second);
+    }
     if (revision->second != 0) {
       it.mIsReceived = true;
       it.mMustList &= it.mIsCalling;
@@ -131,6 +145,40 @@
   }
 }
 
+void FollowedKinds::OnProgress(std::string_view aKind, TimePoint aNow)
+{
+  for (auto& it : mKinds) {
+    if (it.mKind.mName == aKind) {
+      it.mPartsSince = it.mPartsSince == TimePoint{} ? aNow : it.mPartsSince;
+      it.mPartAt = aNow;
+    }
+  }
+}
+
+KindContacts FollowedKinds::Contacts() const
+{
+  KindContacts contacts;
+  for (const auto& it : mKinds) {
+    if (it.mIsReceived) {
+      contacts[it.mKind.mName] = it.mContact;
+    }
+  }
+  return contacts;
+}
+
+TimePoint FollowedKinds::OldestContact() const
+{
+  auto oldest = TimePoint::max();
+  for (const auto& it : mKinds) {
+    // The contact is that of the last call that was answered, so just before an answer
+    // it is two calls old.
+    auto longer = 2 * (it.mKind.mPollTimeout - mKinds.front().mKind.mPollTimeout);
+    auto parts = std::min(it.mPartAt, it.mPartsSince + kReceiveTime);
+    oldest = std::min(oldest, std::max(it.mContact + longer, parts));
+  }
+  return oldest;
+}
+
 bool FollowedKinds::IsComplete() const
 {
   return std::all_of(mKinds.begin(), mKinds.end(), [](const State& aState) {
--- a/src/peer/CapnpPeers.cpp
+++ b/src/peer/CapnpPeers.cpp
@@ -30,6 +30,9 @@
 // Added to a statement's deadline, so that an answer sent at the deadline can arrive.
 constexpr auto kAnswerAllowance = milliseconds(20);
 
+// A longer age, ten years, is taken as not stated.
+constexpr std::uint64_t kLongestAgeUs = 315'360'000'000'000;
+
 KindRevisions ReadKinds(const capnp::List<wire::KindRevision>::Reader& aKinds)
 {
   KindRevisions revisions;
@@ -39,14 +42,31 @@
   return revisions;
 }
 
+KindAges ReadAges(const capnp::List<wire::KindRevision>::Reader& aKinds)
+{
+  KindAges ages;
+  for (auto it : aKinds) {
+    if (it.getContactAgeUs() <= kLongestAgeUs) {
+      ages[it.getKind()] = microseconds(it.getContactAgeUs());
+    }
+  }
+  return ages;
+}
+
 void FillKinds(const KindRevisions& aRevisions,
+               const KindAges& aAges,
                capnp::List<wire::KindRevision>::Builder aKinds)
 {
   unsigned n = 0;
   for (const auto& it : aRevisions) {
-    aKinds[n].setKind(it.first);
-    aKinds[n].setRevision(it.second);
-    ++n;
+    auto kind = aKinds[n++];
+    kind.setKind(it.first);
+    kind.setRevision(it.second);
+    auto age = aAges.find(it.first);
+    if (age != aAges.end()) {
+      kind.setContactAgeUs(
+        std::chrono::duration_cast<microseconds>(age->second).count());
+    }
   }
 }
 
@@ -122,7 +142,7 @@
   aTo.setContactAgeUs(
     std::chrono::duration_cast<microseconds>(aQuery.mContactAge).count());
   aTo.setMembersHash(aQuery.mMembersHash);
-  FillKinds(aQuery.mKindRevisions, aTo.initKinds(aQuery.mKindRevisions.size()));
+  FillKinds(aQuery.mKindRevisions, {}, aTo.initKinds(aQuery.mKindRevisions.size()));
   aTo.setTakesPieces(aQuery.mTakesPieces);
   if (aQuery.mReceived) {
     auto received = aTo.initReceived();
@@ -234,7 +254,9 @@
     for (unsigned n = 0; n < members.size(); ++n) {
       Fill(delta.mMembers[n], members[n]);
     }
-    FillKinds(delta.mKindRevisions, results.initKinds(delta.mKindRevisions.size()));
+    FillKinds(delta.mKindRevisions,
+              delta.mKindAges,
+              results.initKinds(delta.mKindRevisions.size()));
     auto heads = results.initHeads(delta.mHeads.size());
     for (unsigned n = 0; n < heads.size(); ++n) {
       const auto& it = delta.mHeads[n];
@@ -664,6 +686,7 @@
     delta.mRevision = aReply.getRevision();
     delta.mMembersAge = microseconds(aReply.getMembersAgeUs());
     delta.mKindRevisions = ReadKinds(aReply.getKinds());
+    delta.mKindAges = ReadAges(aReply.getKinds());
     delta.mContactAge = microseconds(aReply.getContactAgeUs());
     for (auto it : aReply.getChanges()) {
       auto body = it.getBody();
--- a/src/peer/Peer.h
+++ b/src/peer/Peer.h
@@ -2,6 +2,7 @@
 
 #include "peer/Link.h"
 
+#include "sesameway/FollowedKinds.h"
 #include "sesameway/GroupRequest.h"
 #include "sesameway/ObjectTransfer.h"
 
@@ -66,9 +67,11 @@
   std::uint64_t mRevision = 0;
   // The same for each kind, if the requesting daemon named its own revisions of them.
   KindRevisions mKindRevisions{};
-  // Time since the sending daemon last knew, from the store or from a peer, that this
-  // revision was the newest.
+  // Time since the sending daemon last knew, from the store or from a peer, that it had
+  // all changes of the daemons' own kind.
   Duration mContactAge{};
+  // The same for each kind. Daemons of former versions do not state it.
+  KindAges mKindAges{};
   // The current state of each object that has changed.
   std::vector<StoredObject> mChanges;
   std::optional<ObjectPiece> mPiece;
--- a/src/proxy/PeerPulls.cpp
+++ b/src/proxy/PeerPulls.cpp
@@ -11,6 +11,18 @@
 constexpr Duration kPullTimeout = milliseconds(600);
 constexpr Duration kFailureLogInterval = seconds(1);
 
+// Ages count from when the peer was asked. Daemons of former versions state one age.
+KindContacts ContactsOf(const peer::CatalogueDelta& aDelta, TimePoint aAskedAt)
+{
+  KindContacts contacts;
+  for (const auto& it : aDelta.mKindRevisions) {
+    auto age = aDelta.mKindAges.find(it.first);
+    contacts[it.first] =
+      aAskedAt - (age != aDelta.mKindAges.end() ? age->second : aDelta.mContactAge);
+  }
+  return contacts;
+}
+
 } // namespace
 
 PeerPulls::PeerPulls(Loop& aLoop,
@@ -99,6 +111,7 @@
   }
   mSync.Merge(objects,
               aPull.OnAnswer(aDelta.mKindRevisions, aDelta.mIncompleteKinds),
+              ContactsOf(aDelta, aAskedAt),
               source);
   mOnHeads(aDelta.mHeads, aAskedAt);
   return isNew && !aDelta.mIncompleteKinds.empty();
@@ -123,6 +136,7 @@
     mMetrics.Count("pulls.begun_anew", isAnew ? 1 : 0);
     LogBegin(aPiece, aSource);
   }
+  mSync.NoteProgress(KindOf(aPiece.mId.mName), aSource.mHeardAt);
   if (*object) {
     aSource.mHeardAt = mReceiver.BegunAt();
     mSync.Merge(**object, aSource);
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -12,6 +12,7 @@
 // Timeouts of one call that waits for changes. Calls for kOwnKind are shorter because
 // they also show whether the store can be reached.
 constexpr Duration kOwnKindPollTimeout = milliseconds(700);
+constexpr Duration kConfigurationPollTimeout = milliseconds(1500);
 constexpr Duration kOtherKindPollTimeout = seconds(3);
 constexpr int kWorkerThreads = 2;
 constexpr Duration kTotalsInterval = seconds(10);
@@ -29,7 +30,7 @@
 {
   std::vector<FollowedKind> kinds{
     { kOwnKind, kOwnKindPollTimeout },
-    { std::string(KindOf(aAdapters.mConfigurationObject)), kOtherKindPollTimeout },
+    { std::string(KindOf(aAdapters.mConfigurationObject)), kConfigurationPollTimeout },
     { aAdapters.mDatabaseKind, kOtherKindPollTimeout },
   };
   if (!aAdapters.mEvacuationKind.empty()) {
@@ -282,9 +283,12 @@
 std::vector<daemon::MetricValue> Proxy::Gauges() const
 {
   auto age = std::chrono::duration<double>(Clock::now() - mSync.Contact()).count();
+  auto oldest =
+    std::chrono::duration<double>(Clock::now() - mSync.OldestContact()).count();
   auto load = mFleet.Load();
   return { { "sessions.open", static_cast<double>(mSessions.size()) },
            { "store.contact_age_s", age },
+           { "store.oldest_contact_age_s", oldest },
            { "coordinator", mCoordinator->IsCoordinator() ? 1.0 : 0.0 },
            { "homes.count", static_cast<double>(load.mHomes) },
            { "homes.lent_now", static_cast<double>(mFleet.LentCount()) },
--- a/src/proxy/ProxyPeers.cpp
+++ b/src/proxy/ProxyPeers.cpp
@@ -15,7 +15,8 @@
 
 void Proxy::PullFromPeers(TimePoint aNow)
 {
-  if (mPeers == nullptr || !mPullSchedule.IsDue(mSync.Contact(), aNow)) {
+  auto contact = mSync.OldestContact();
+  if (mPeers == nullptr || !mPullSchedule.IsDue(contact, aNow)) {
     return;
   }
   std::vector<std::string> addresses = mSeedPeerAddresses;
@@ -23,7 +24,7 @@
     addresses.push_back(it.mAddress);
   }
   std::erase(addresses, mSelf.mAddress);
-  for (auto it : mPullSchedule.Next(mSync.Contact(), addresses.size(), aNow)) {
+  for (auto it : mPullSchedule.Next(contact, addresses.size(), aNow)) {
     mPulls.Pull(addresses[it], [](bool) {});
   }
 }
@@ -104,6 +105,7 @@
   // Contact and revisions are read before the objects, so that the objects are at least
   // as recent as all of them.
   auto contact = mSync.Contact();
+  auto contacts = mSync.Contacts();
   delta.mRevision = mSync.Revision();
   ChangeBatch batch;
   if (aQuery.mTakesPieces) {
@@ -121,6 +123,9 @@
   delta.mPiece = std::move(batch.mPiece);
   delta.mIncompleteKinds = std::move(batch.mIncompleteKinds);
   auto now = Clock::now();
+  for (const auto& it : contacts) {
+    delta.mKindAges[it.first] = now - it.second;
+  }
   std::lock_guard lock(mMutex);
   for (const auto& it : mHeads) {
     delta.mHeads.push_back({ it.first, it.second.mHead, now - it.second.mAt });
--- a/src/proxy/ProxyStore.cpp
+++ b/src/proxy/ProxyStore.cpp
@@ -351,7 +351,7 @@
   // The coordinator always follows the store because it must learn of new daemons at
   // once.
   bool mustWatch =
-    mWatchers.MustWatch(mSync.Contact(), aNow) || mCoordinator->IsCoordinator();
+    mWatchers.MustWatch(mSync.OldestContact(), aNow) || mCoordinator->IsCoordinator();
   // Which daemons follow the store is known only after the first synchronisation.
   if (!mIsInitialized) {
     return;
@@ -370,7 +370,7 @@
     }
   }
   mPulls.Pull(address, [this](bool aHasAnswered) {
-    aHasAnswered ? mWatchers.OnAnswer(mSync.Contact(), Clock::now())
+    aHasAnswered ? mWatchers.OnAnswer(mSync.OldestContact(), Clock::now())
                  : mWatchers.OnNoAnswer();
   });
 }
--- a/src/proxy/StoreSync.cpp
+++ b/src/proxy/StoreSync.cpp
@@ -25,10 +25,11 @@
 
 void StoreSync::Merge(const std::vector<StoredObject>& aObjects,
                       const KindRevisions& aRevisions,
+                      const KindContacts& aContacts,
                       const ObjectSource& aSource)
 {
   ApplyAll(aObjects, aSource);
-  mFollowed.OnPeerAnswer(aRevisions, aSource.mContact);
+  mFollowed.OnPeerAnswer(aRevisions, aContacts);
   Publish();
 }
 
@@ -101,6 +102,12 @@
   return mContact;
 }
 
+KindContacts StoreSync::Contacts() const
+{
+  std::lock_guard lock(mMutex);
+  return mContacts;
+}
+
 void StoreSync::MakeCalls()
 {
   for (const auto& it : mFollowed.Due(Clock::now())) {
@@ -230,6 +237,7 @@
   {
     std::lock_guard lock(mMutex);
     isNewer = contact > std::exchange(mContact, std::max(mContact, contact));
+    mContacts = mFollowed.Contacts();
   }
   if (isNewer) {
     mListener.mOnContact(contact);
--- a/src/proxy/StoreSync.h
+++ b/src/proxy/StoreSync.h
@@ -63,12 +63,18 @@
   StoreSync(Loop& aLoop, platform::ChangeFeed& aFeed, std::vector<FollowedKind> aKinds);
   void Start(Listener aListener);
   // Merges a peer's objects. The kinds in `aRevisions` are complete up to the given
-  // revision, and reflect the store at the time of the source's contact.
+  // revision, and reflect the store at their time in `aContacts`.
   void Merge(const std::vector<StoredObject>& aObjects,
              const KindRevisions& aRevisions,
+             const KindContacts& aContacts,
              const ObjectSource& aSource);
   // Merges one object of which nothing else is known.
   void Merge(const StoredObject& aObject, const ObjectSource& aSource);
+  // Notes that a peer sends an object of the kind in parts, of which one has arrived.
+  void NoteProgress(std::string_view aKind, TimePoint aNow)
+  {
+    mFollowed.OnProgress(aKind, aNow);
+  }
   // Applies the object that a write found or left in the store. Does nothing if the
   // store did not answer or holds no such object.
   void Apply(const std::optional<platform::PutResult>& aResult);
@@ -81,9 +87,10 @@
   // The functions below may be called from any thread unless stated otherwise. Revision
   // returns the revision up to which all changes have been applied.
   std::uint64_t Revision() const;
-  // OwnRevision returns the same for kOwnKind alone. It may be called on the event
-  // loop's thread only.
+  // OwnRevision returns the same for kOwnKind alone. It and OldestContact, see
+  // FollowedKinds, may be called on the event loop's thread only.
   std::uint64_t OwnRevision() const;
+  TimePoint OldestContact() const { return mFollowed.OldestContact(); }
   // The revision of each kind up to which all its changes have been applied; kinds that
   // have not been received yet are left out.
   KindRevisions Revisions() const;
@@ -94,8 +101,10 @@
   // Returns the next part of what a peer lacks, limited in size.
   ChangeBatch NextChanges(const ChangeRequest& aRequest);
   std::optional<StoredObject> Find(const std::string& aName) const;
-  // The latest time at which no change of kOwnKind is known to have been missing.
+  // The latest time at which no change of kOwnKind is known to have been missing, and
+  // the same for each kind.
   TimePoint Contact() const;
+  KindContacts Contacts() const;
 
 private:
   // Makes the calls to the store that are due.
@@ -129,6 +138,7 @@
   ChangeSender mSender;
   std::uint64_t mRevision = 0;
   TimePoint mContact{};
+  KindContacts mContacts;
 };
 
 } // namespace sesameway::proxy
