StoreSync keeps no loop that it does not use

Evidence: clang-tidy on src/proxy/StoreSync.cpp, "private field 'mLoop' is not used"; clean after the change, on that file and in the whole script. Why it works: the timer holds the loop that it needs, and nothing else refers to it.

--- a/src/proxy/StoreSync.cpp
+++ b/src/proxy/StoreSync.cpp
@@ -10,8 +10,7 @@
 StoreSync::StoreSync(Loop& aLoop,
                      platform::ChangeFeed& aFeed,
                      std::vector<FollowedKind> aKinds)
-  : mLoop(aLoop)
-  , mFeed(aFeed)
+  : mFeed(aFeed)
   , mFollowed(std::move(aKinds))
   , mNextCall(aLoop)
 {
--- a/src/proxy/StoreSync.h
+++ b/src/proxy/StoreSync.h
@@ -124,7 +124,6 @@
   // listener.
   void Publish();
 
-  Loop& mLoop;
   platform::ChangeFeed& mFeed;
   Listener mListener;
   // Used on the event loop's thread only.
