Read the change again: one comment was wrong, two accessors had no user

Callers see nothing. OldestContact said that a kind may be behind by the difference of the waits; it is twice that, as the code's own comment explains. StoreRegion counted store calls and told its size for nobody. A comment spoke of several daemons where there is one.

--- a/include/sesameway/FollowedKinds.h
+++ b/include/sesameway/FollowedKinds.h
@@ -82,8 +82,8 @@
   KindContacts Contacts() const;
   // How recent this daemon's information is as a whole: the contact of the kind that is
   // most behind. A kind whose calls wait longer than those of the first kind may be
-  // behind by the difference, and one that is being received counts as recent for a
-  // while.
+  // behind by twice the difference, and one that is being received counts as recent for
+  // a while.
   TimePoint OldestContact() const;
 
 private:
--- a/test/core/StoreRegion.h
+++ b/test/core/StoreRegion.h
@@ -72,7 +72,6 @@
     }
   }
 
-  std::size_t Size() const { return mDaemons.size(); }
   Daemon& At(std::size_t aNumber) { return *mDaemons[aNumber]; }
   // Number of the daemon at a rank in the order of the region's daemons.
   std::size_t AtRank(std::size_t aRank) const
@@ -85,8 +84,6 @@
     return 0;
   }
   TimePoint Now() const { return mNow; }
-  // Number of calls to the store so far.
-  int StoreCalls() const { return mStoreCalls; }
 
   // Writes an object to the store. Returns its revision.
   std::uint64_t Write(const std::string& aName, std::string aBody)
@@ -268,7 +265,6 @@
 
   void SendToStore(const CallPtr& aCall)
   {
-    ++mStoreCalls;
     auto& daemon = *mDaemons[aCall->mDaemon];
     bool isWatch = aCall->mCall.mType == StoreCallType::Watch;
     auto limit = aCall->mCall.mDeadline + (isWatch ? kWatchGrace : Duration::zero());
@@ -542,7 +538,6 @@
   std::uint64_t mRevision = 0;
   // Calls that wait for a change.
   std::vector<CallPtr> mWatches;
-  int mStoreCalls = 0;
 };
 
 } // namespace sesameway::test
--- a/test/core/StoreRegionTest.cpp
+++ b/test/core/StoreRegionTest.cpp
@@ -221,8 +221,8 @@
     }
   }
 
-  // The first daemons of the region get no answer to watches of the configuration,
-  // while the store answers all their other calls.
+  // The first daemon of the region gets no answer to its watches of the configuration,
+  // while the store answers all its other calls.
   static void LoseWatches(ChangingRegion& aRegion)
   {
     auto& region = aRegion.Region();
