--- a/review/standin-2/cases.h
+++ b/review/standin-2/cases.h
@@ -4,6 +4,7 @@
 
 namespace world {
 
+int PlayStop(bool aIsTroubled);
 int PlayTarget(bool aIsTroubled);
 
 struct Case
@@ -12,6 +13,7 @@
   int (*mRun)(bool);
 };
 inline constexpr Case kCases[] = {
+  { "stop", PlayStop },
   { "target", PlayTarget },
 };
 
