--- a/review/standin-2/cases.h
+++ b/review/standin-2/cases.h
@@ -5,6 +5,7 @@
 namespace world {
 
 int PlayStop(bool aIsTroubled);
+int PlayOrders(bool aIsTroubled);
 int PlayTarget(bool aIsTroubled);
 
 struct Case
@@ -14,6 +15,7 @@
 };
 inline constexpr Case kCases[] = {
   { "stop", PlayStop },
+  { "orders", PlayOrders },
   { "target", PlayTarget },
 };
 
