--- a/review/standin-2/cases.h
+++ b/review/standin-2/cases.h
@@ -6,6 +6,7 @@
 
 int PlayStop(bool aIsTroubled);
 int PlayOrders(bool aIsTroubled);
+int PlayLogs(bool aIsTroubled);
 int PlayTarget(bool aIsTroubled);
 
 struct Case
@@ -16,6 +17,7 @@
 inline constexpr Case kCases[] = {
   { "stop", PlayStop },
   { "orders", PlayOrders },
+  { "logs", PlayLogs },
   { "target", PlayTarget },
 };
 
