--- a/review/standin-2/cases.h
+++ b/review/standin-2/cases.h
@@ -8,6 +8,7 @@
 int PlayOrders(bool aIsTroubled);
 int PlayLogs(bool aIsTroubled);
 int PlayTarget(bool aIsTroubled);
+int PlayTransactions(bool aIsTroubled);
 
 struct Case
 {
@@ -19,6 +20,7 @@
   { "orders", PlayOrders },
   { "logs", PlayLogs },
   { "target", PlayTarget },
+  { "transactions", PlayTransactions },
 };
 
 } // namespace world
