--- a/include/sesameway/DrainPlan.h
+++ b/include/sesameway/DrainPlan.h
@@ -11,8 +11,8 @@
 class DrainPlan
 {
 public:
-  // `aLimit` is when the process ends.
-  DrainPlan(TimePoint aSince, TimePoint aLimit);
+  // `aKillAt` is when the process is killed if it has not ended by itself.
+  DrainPlan(TimePoint aSince, TimePoint aKillAt);
 
   // Whether to close a session that has been idle since `aIdleSince`.
   bool ClosesIdle(TimePoint aIdleSince, TimePoint aNow) const;
@@ -25,8 +25,8 @@
 private:
   TimePoint mOutOfRotation;
   TimePoint mEndTransactionsAt;
-  TimePoint mCloseWithAnswerAt;
   TimePoint mLimit;
+  TimePoint mCloseWithAnswerAt;
 };
 
 } // namespace sesameway
--- a/src/core/DrainPlan.cpp
+++ b/src/core/DrainPlan.cpp
@@ -1,5 +1,7 @@
 #include "sesameway/DrainPlan.h"
 
+#include <algorithm>
+
 namespace sesameway {
 
 namespace {
@@ -10,14 +12,23 @@
 // A caller that sends its next statement right after an answer has done so within this
 // time.
 constexpr Duration kIdleBeforeClose = milliseconds(100);
+// The time in which the process ends by itself before it is killed: at most kExitTime,
+// and at most this part of the whole time.
+constexpr Duration kExitTime = milliseconds(700);
+constexpr int kExitPart = 8;
+
+Duration ExitTime(Duration aWhole)
+{
+  return std::min(kExitTime, aWhole / kExitPart);
+}
 
 } // namespace
 
-DrainPlan::DrainPlan(TimePoint aSince, TimePoint aLimit)
+DrainPlan::DrainPlan(TimePoint aSince, TimePoint aKillAt)
   : mOutOfRotation(aSince + kOutOfRotation)
-  , mEndTransactionsAt(aSince + (aLimit - aSince) / 2)
-  , mCloseWithAnswerAt(aSince + (aLimit - aSince) * 3 / 4)
-  , mLimit(aLimit)
+  , mEndTransactionsAt(aSince + (aKillAt - aSince) / 2)
+  , mLimit(aKillAt - ExitTime(aKillAt - aSince))
+  , mCloseWithAnswerAt(aSince + (mLimit - aSince) * 3 / 4)
 {
 }
 
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -214,14 +214,14 @@
   return session;
 }
 
-void Proxy::Drain(TimePoint aLimit, std::function<void()> aDone)
+void Proxy::Drain(TimePoint aKillAt, std::function<void()> aDone)
 {
   if (mIsDraining) {
     return;
   }
   LOG(INFO) << daemon::LogLine("draining").With("sessions", mSessions.size());
   mIsDraining = true;
-  mDrainPlan.emplace(Clock::now(), aLimit);
+  mDrainPlan.emplace(Clock::now(), aKillAt);
   mOnDrained = std::move(aDone);
   mCoordinator->Leave();
   mFleet.StopLending();
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -72,9 +72,9 @@
   void Start(peer::Peers* aPeers);
   // Whether load balancers should send new connections to this daemon.
   bool IsReady() const { return mIsInitialized && !mIsDraining; }
-  // Closes sessions as they become idle. Calls back when all have ended or `aLimit` is
-  // reached.
-  void Drain(TimePoint aLimit, std::function<void()> aDone);
+  // Closes sessions as they become idle. Calls back when all have ended, or shortly
+  // before `aKillAt`.
+  void Drain(TimePoint aKillAt, std::function<void()> aDone);
   void SetSeedPeerAddresses(std::vector<std::string> aAddresses);
   daemon::Metrics& MetricsRegistry() { return mMetrics; }
   // Gauges that are computed on demand.
--- a/src/proxy/Settings.h
+++ b/src/proxy/Settings.h
@@ -28,9 +28,8 @@
   std::string mPromotionAddress;
   // Peer addresses of a few daemons for the first contact. Some may no longer exist.
   std::vector<std::string> mSeedPeerAddresses;
-  // How long sessions are drained after SIGTERM: the time until SIGKILL, less a reserve
-  // in which the process exits by itself.
-  Duration mGrace = seconds(5);
+  // The time from SIGTERM to SIGKILL.
+  Duration mGrace = seconds(6);
   // The time within which an evacuation must be in force on every daemon. Evacuations,
   // allowed regions and cold databases are handled only if it is set.
   std::optional<Duration> mEvacuateWithin;
--- a/test/core/DrainPlanTest.cpp
+++ b/test/core/DrainPlanTest.cpp
@@ -15,8 +15,8 @@
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr TimePoint kStart{ seconds(1000) };
-  static constexpr TimePoint kLimit = kStart + seconds(8);
-  DrainPlan mPlan{ kStart, kLimit };
+  static constexpr TimePoint kKillAt = kStart + seconds(8);
+  DrainPlan mPlan{ kStart, kKillAt };
 
   // Guards against sessions that are closed too early when daemons are stopped one
   // after the other: sessions that were closed at once reconnected to the same daemon
@@ -56,7 +56,8 @@
     CPPUNIT_ASSERT(!mPlan.IsOver(false, kStart + seconds(1)));
     CPPUNIT_ASSERT(mPlan.IsOver(false, kStart + seconds(3)));
     CPPUNIT_ASSERT(!mPlan.IsOver(true, kStart + seconds(3)));
-    CPPUNIT_ASSERT(mPlan.IsOver(true, kLimit));
+    CPPUNIT_ASSERT(!mPlan.IsOver(true, kKillAt - seconds(1)));
+    CPPUNIT_ASSERT(mPlan.IsOver(true, kKillAt - milliseconds(100)));
   }
 };
 
--- a/test/platform/ObjectStoreTest.cpp
+++ b/test/platform/ObjectStoreTest.cpp
@@ -2,6 +2,7 @@
 #include "Decode.h"
 #include "HttpServer.h"
 #include "SettingsFile.h"
+#include "sesameway/DrainPlan.h"
 #include "sesameway/StoreRevision.h"
 
 #include <boost/asio/read_until.hpp>
@@ -531,6 +532,7 @@
   CPPUNIT_TEST(ReadsADatabase);
   CPPUNIT_TEST(RejectsEntriesThatNameNoDatabase);
   CPPUNIT_TEST(ReadsSettings);
+  CPPUNIT_TEST(TransactionsHaveHalfOfGraceS);
   CPPUNIT_TEST(ReadsSpeedFromSettings);
   CPPUNIT_TEST(ReportsAllErrorsInSettings);
   CPPUNIT_TEST(EvacuationsAreHandledOnlyIfTheSettingsSaySo);
@@ -597,7 +599,28 @@
     CPPUNIT_ASSERT(settings.has_value());
     CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:7560"), settings->mPeerAddress);
     CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:7561"), settings->mMetricsAddress);
-    CPPUNIT_ASSERT(settings->mGrace < seconds(6));
+    CPPUNIT_ASSERT(settings->mGrace == seconds(6));
+  }
+
+  // Guards against transactions that a stopping daemon rolls back before half of graceS
+  // (review/10).
+  void TransactionsHaveHalfOfGraceS()
+  {
+    constexpr TimePoint kStart{ seconds(1000) };
+    for (int graceMs : { 500, 1000, 3000, 6000, 7500, 30'000 }) {
+      auto grace = milliseconds(graceMs);
+      auto settings = ReadSettings(
+        R"({"nodeName":"f1","zone":"z","ip":"10.0.0.1","zones":{"z":"r"},
+            "listen":{"front":"10.0.0.1:1","ready":"10.0.0.1:2"},"portRange":[7560,7575],
+            "platform":{"addr":"10.0.0.9:4"},"cloud":{"addr":"10.0.0.9:5"},
+            "parameters":{"graceS":)" +
+        std::to_string(graceMs / 1000.0) + "}}");
+      CPPUNIT_ASSERT(settings.has_value());
+      DrainPlan plan(kStart, kStart + settings->mGrace);
+      CPPUNIT_ASSERT(!plan.EndsTransactions(kStart + grace / 2 - milliseconds(1)));
+      CPPUNIT_ASSERT(plan.EndsTransactions(kStart + grace / 2));
+      CPPUNIT_ASSERT(plan.IsOver(true, kStart + grace - milliseconds(25)));
+    }
   }
 
   // Guards against a mistaken limit that stops the daemon, or makes it home of all
