--- a/include/sesameway/DrainPlan.h
+++ b/include/sesameway/DrainPlan.h
@@ -4,10 +4,11 @@
 
 namespace sesameway {
 
-// Decides when a daemon that is shutting down closes its callers' sessions. New callers
-// arrive until the load balancer has noticed the shutdown, and a caller that was just
-// answered often sends its next statement at once. Sessions are therefore closed while
-// they have no statement in flight, if possible.
+// Decides when a daemon that is shutting down closes its callers' sessions and ends
+// what they still have under way, so that each request is answered before the process
+// is killed. New callers arrive until the load balancer has noticed the shutdown, and a
+// caller that was just answered often sends its next statement at once. Sessions are
+// therefore closed while they have no statement in flight, if possible.
 class DrainPlan
 {
 public:
@@ -16,17 +17,19 @@
 
   // Whether to close a session that has been idle since `aIdleSince`.
   bool ClosesIdle(TimePoint aIdleSince, TimePoint aNow) const;
-  // Whether a session is closed together with the answer that leaves it idle.
-  bool ClosesWithAnswer(TimePoint aNow) const;
-  // Whether open transactions are rolled back.
-  bool EndsTransactions(TimePoint aNow) const;
+  // Whether sessions end: open transactions are rolled back, a session is closed with
+  // the answer that leaves it idle, and new sessions and transactions are refused.
+  bool EndsSessions(TimePoint aNow) const;
+  // Whether statements in progress are ended with an answer.
+  bool EndsStatements(TimePoint aNow) const;
+  // Whether the process ends. `aIsAnyOpen` says whether a session is still open.
   bool IsOver(bool aIsAnyOpen, TimePoint aNow) const;
 
 private:
+  TimePoint mEndSessionsAt;
   TimePoint mOutOfRotation;
-  TimePoint mEndTransactionsAt;
-  TimePoint mLimit;
-  TimePoint mCloseWithAnswerAt;
+  TimePoint mEndStatementsAt;
+  TimePoint mEndAt;
 };
 
 } // namespace sesameway
--- a/src/core/DrainPlan.cpp
+++ b/src/core/DrainPlan.cpp
@@ -12,45 +12,47 @@
 // A caller that sends its next statement right after an answer has done so within this
 // time.
 constexpr Duration kIdleBeforeClose = milliseconds(100);
-// The time in which the process ends by itself before it is killed: at most kExitTime,
-// and at most this part of the whole time.
-constexpr Duration kExitTime = milliseconds(700);
-constexpr int kExitPart = 8;
+// The time before the kill in which the last answers are sent and the process ends: at
+// most kEndTime, and at most this part of the whole time.
+constexpr Duration kEndTime = milliseconds(700);
+constexpr int kEndPart = 8;
 
-Duration ExitTime(Duration aWhole)
+Duration EndTime(Duration aWhole)
 {
-  return std::min(kExitTime, aWhole / kExitPart);
+  return std::min(kEndTime, aWhole / kEndPart);
 }
 
 } // namespace
 
+// A statement that is taken in the second half may reach the kill before its timeout,
+// so none is taken then that another daemon can serve.
 DrainPlan::DrainPlan(TimePoint aSince, TimePoint aKillAt)
-  : mOutOfRotation(aSince + kOutOfRotation)
-  , mEndTransactionsAt(aSince + (aKillAt - aSince) / 2)
-  , mLimit(aKillAt - ExitTime(aKillAt - aSince))
-  , mCloseWithAnswerAt(aSince + (mLimit - aSince) * 3 / 4)
+  : mEndSessionsAt(aSince + (aKillAt - aSince) / 2)
+  , mOutOfRotation(std::min(aSince + kOutOfRotation, mEndSessionsAt))
+  , mEndStatementsAt(aKillAt - EndTime(aKillAt - aSince))
+  , mEndAt(aKillAt - EndTime(aKillAt - aSince) / 2)
 {
 }
 
 bool DrainPlan::ClosesIdle(TimePoint aIdleSince, TimePoint aNow) const
 {
-  bool isIdle = aNow - aIdleSince >= kIdleBeforeClose || aNow >= mCloseWithAnswerAt;
+  bool isIdle = aNow - aIdleSince >= kIdleBeforeClose || EndsSessions(aNow);
   return aNow >= mOutOfRotation && isIdle;
 }
 
-bool DrainPlan::ClosesWithAnswer(TimePoint aNow) const
+bool DrainPlan::EndsSessions(TimePoint aNow) const
 {
-  return aNow >= mCloseWithAnswerAt;
+  return aNow >= mEndSessionsAt;
 }
 
-bool DrainPlan::EndsTransactions(TimePoint aNow) const
+bool DrainPlan::EndsStatements(TimePoint aNow) const
 {
-  return aNow >= mEndTransactionsAt;
+  return aNow >= mEndStatementsAt;
 }
 
 bool DrainPlan::IsOver(bool aIsAnyOpen, TimePoint aNow) const
 {
-  return (aNow >= mOutOfRotation && !aIsAnyOpen) || aNow >= mLimit;
+  return (aNow >= mOutOfRotation && !aIsAnyOpen) || aNow >= mEndAt;
 }
 
 } // namespace sesameway
--- a/src/proxy/Backend.h
+++ b/src/proxy/Backend.h
@@ -129,8 +129,9 @@
   virtual void Admit(const Organisation& aOrganisation,
                      TimePoint aDeadline,
                      std::function<void(bool, TimePoint)> aVerdict) = 0;
-  // Whether sessions are closed after the answer that leaves them idle.
-  virtual bool ClosesWithAnswer() const = 0;
+  // Whether sessions end because the daemon stops: they are closed after the answer
+  // that leaves them idle, and new sessions and transactions are refused.
+  virtual bool EndsSessions() const = 0;
   virtual void OnStatement(const std::string& aRoute,
                            ReplyCode aCode,
                            Duration aLatency) = 0;
--- a/src/proxy/CallerOutcome.cpp
+++ b/src/proxy/CallerOutcome.cpp
@@ -168,7 +168,7 @@
 void CallerRun::OnOverload(const ConnectionReply& aReply)
 {
   auto& attempt = *mAttempt;
-  auto reason = aReply.mDetail + " at " + mLease->mDatabase;
+  auto reason = EndReason(aReply.mDetail + " at " + mLease->mDatabase);
   attempt.mAvoid.insert(mLease->mDatabase);
   if (mTransaction == TransactionState::Open) {
     RollBack();
@@ -234,28 +234,30 @@
   RetryOrFail(ReplyCode::Aborted, "connection_lost at " + attempt.mDatabase);
 }
 
-// Whether the statement may be sent again: it can't have taken effect, and neither the
-// limit of sends nor the deadline has been reached.
+// Whether the statement may be sent again: it can't have taken effect, it is not being
+// ended, and neither the limit of sends nor the deadline has been reached.
 bool CallerRun::MayRetry() const
 {
   const auto& attempt = *mAttempt;
-  return !attempt.mIsOutcomeUnknown && attempt.mSends < kMaxSends &&
+  return !attempt.mIsOutcomeUnknown && attempt.mEndReason.empty() &&
+         attempt.mSends < kMaxSends &&
          mEnvironment.Now() + kRetryPause < attempt.mDeadline;
 }
 
 void CallerRun::RetryOrFail(ReplyCode aCode, const std::string& aReason)
 {
   auto& attempt = *mAttempt;
-  attempt.mCause = aReason;
+  auto reason = EndReason(aReason);
+  attempt.mCause = reason;
   if (attempt.mIsOutcomeUnknown) {
-    Fail(ReplyCode::Unknown, aReason);
+    Fail(ReplyCode::Unknown, reason);
     return;
   }
   // The results of the transaction that the caller has already received were lost with
   // the connection.
   bool hasLostResults = mTransaction == TransactionState::Open && mHasAnswered;
   if (hasLostResults || !MayRetry()) {
-    Fail(aCode, aReason);
+    Fail(aCode, reason);
     return;
   }
   mHasBegun = false;
@@ -288,8 +290,23 @@
   if (!mAttempt || mIsDisconnected) {
     return;
   }
+  mAttempt->mHasTimedOut = mIsSending;
+  EndAttempt("no_connection_in_time " + mAttempt->mCause);
+}
+
+void CallerRun::EndRequest(std::string_view aReason)
+{
+  if (!mAttempt || mIsDisconnected || mIsOver) {
+    return;
+  }
+  mAttempt->mEndReason = aReason;
+  auto now = mEnvironment.Now();
+  EndAttempt(RetryText(std::string(aReason), now, now));
+}
+
+void CallerRun::EndAttempt(const std::string& aDetail)
+{
   if (mIsSending) {
-    mAttempt->mHasTimedOut = true;
     mLease->mLink->Close();
     return;
   }
@@ -300,7 +317,13 @@
   if (mTicket != 0) {
     mBackend.CancelAcquire(std::exchange(mTicket, 0));
   }
-  Fail(ReplyCode::Busy, "no_connection_in_time " + mAttempt->mCause);
+  Fail(ReplyCode::Busy, aDetail);
+}
+
+std::string CallerRun::EndReason(const std::string& aReason) const
+{
+  const auto& reason = mAttempt->mEndReason;
+  return reason.empty() ? aReason : std::string(reason);
 }
 
 void CallerRun::Fail(ReplyCode aCode, const std::string& aDetail)
--- a/src/proxy/CallerRun.cpp
+++ b/src/proxy/CallerRun.cpp
@@ -44,43 +44,51 @@
   if (!aKey.empty()) {
     mKeyHash = HashKey(aKey);
   }
+  if (mEnvironment.EndsSessions()) {
+    RefuseSession(ReplyCode::Busy, kStopping);
+    return;
+  }
   if (CheckPermission()) {
     mStream->Accept();
   }
 }
 
-// Looks up the route and the key in the current catalogue, so that changes apply from
-// the next operation on. If the session is not permitted, refuses it and returns false.
+// The catalogue is looked up anew each time, so that changes apply from the next
+// operation on.
 bool CallerRun::CheckPermission()
 {
   mCatalogue = mEnvironment.Current();
-  auto refuse = [this](ReplyCode aCode, const char* aReason) {
-    LOG(INFO) << daemon::LogLine("session_refused")
-                   .With("id", mAttempt ? mAttempt->mRequest.mId : std::string("-"))
-                   .With("route", mRouteName)
-                   .With("code", kReplyCodeNames.Name(aCode))
-                   .With("reason", aReason)
-                   .With("catalogue", mCatalogue ? mCatalogue->mRevision : 0);
-    mIsOver = true;
-    mStream->Refuse(aCode, aReason);
-    return false;
-  };
   if (!mCatalogue) {
-    return refuse(ReplyCode::Busy, "starting");
+    RefuseSession(ReplyCode::Busy, "starting");
+    return false;
   }
   mRoute = mCatalogue->FindRoute(mRouteName);
   if (mRoute == nullptr) {
-    return refuse(ReplyCode::NoRoute, "no_such_database");
+    RefuseSession(ReplyCode::NoRoute, "no_such_database");
+    return false;
   }
   const auto* key = mKeyHash.empty() ? nullptr : mCatalogue->FindKeyByHash(mKeyHash);
   if (key == nullptr && !mRoute->mOpen) {
-    return refuse(ReplyCode::Denied, "key_unknown");
+    RefuseSession(ReplyCode::Denied, "key_unknown");
+    return false;
   }
   mOrganisation = key != nullptr ? key->mOrganisation : kNoOrganisation;
   mGrantedRevision = mCatalogue->mRevision;
   return true;
 }
 
+void CallerRun::RefuseSession(ReplyCode aCode, std::string_view aReason)
+{
+  LOG(INFO) << daemon::LogLine("session_refused")
+                 .With("id", mAttempt ? mAttempt->mRequest.mId : std::string("-"))
+                 .With("route", mRouteName)
+                 .With("code", kReplyCodeNames.Name(aCode))
+                 .With("reason", aReason)
+                 .With("catalogue", mCatalogue ? mCatalogue->mRevision : 0);
+  mIsOver = true;
+  mStream->Refuse(aCode, std::string(aReason));
+}
+
 Withdrawal CallerRun::FindWithdrawn()
 {
   auto current = mEnvironment.Current();
@@ -211,6 +219,11 @@
     Answer(OwnReply(ReplyCode::Malformed, "already_in_transaction", mTransaction));
     return;
   }
+  if (mEnvironment.EndsSessions()) {
+    auto now = mEnvironment.Now();
+    Fail(ReplyCode::Busy, RetryText(kStopping, now, now));
+    return;
+  }
   if (!CheckPermission()) {
     return;
   }
@@ -334,7 +347,7 @@
   mStream->Answer(aReply);
   if (mTransaction == TransactionState::Open) {
     StartIdleTransactionTimer();
-  } else if (mEnvironment.ClosesWithAnswer() && IsIdle()) {
+  } else if (mEnvironment.EndsSessions() && IsIdle()) {
     Drain();
   }
 }
--- a/src/proxy/CallerRun.h
+++ b/src/proxy/CallerRun.h
@@ -12,6 +12,9 @@
 
 namespace sesameway::proxy {
 
+// The reason that callers are told when the daemon stops.
+inline constexpr const char* kStopping = "daemon_stopping";
+
 namespace detail {
 
 // State of the current request, including all its retries.
@@ -32,6 +35,8 @@
   // not be sent again.
   bool mIsOutcomeUnknown = false;
   bool mHasTimedOut = false;
+  // Why the request is ended before its timeout; empty if it is not.
+  std::string_view mEndReason;
   bool mNeedsPrimary = false;
   // Databases that failed to serve the request; others are preferred.
   std::set<std::string> mAvoid;
@@ -76,19 +81,26 @@
   void EndTransaction(std::string_view aReason);
   // The same if the transaction's database is no longer to be used.
   void EndTransactionIfEvacuated();
+  // Answers the current request, if there is one, before its statement has ended. What
+  // has been sent and may take effect is answered as unknown. `aReason` is a constant.
+  void EndRequest(std::string_view aReason);
   // Ends what was granted to the caller if the catalogue in force takes it back: rolls
   // an open transaction back between requests, and refuses a statement that waits for a
   // connection. A statement that has been sent may finish.
   void EndWithdrawnGrant();
+  // Whether a statement is in progress at a database, or waits at its home.
+  bool IsSending() const { return mIsSending; }
   bool IsIdle() const { return !mIsBusy && mTransaction == TransactionState::None; }
   // The time of the last answer, or of the session's start if there was none.
   TimePoint AnsweredAt() const { return mAnsweredAt; }
-  bool IsInTransaction() const { return mTransaction != TransactionState::None; }
 
 private:
   using Attempt = detail::Attempt;
 
+  // Looks up the route and the key. If the session is not permitted, refuses it and
+  // returns false.
   bool CheckPermission();
+  void RefuseSession(ReplyCode aCode, std::string_view aReason);
   // Why the catalogue in force no longer grants what CheckPermission has granted.
   Withdrawal FindWithdrawn();
   // If the grant was taken back, refuses the current request and returns true.
@@ -130,6 +142,11 @@
   void WatchForNoResponse();
   void OnLost();
   void OnDeadline();
+  // Ends the current request wherever it is. One that waits is answered as busy with
+  // `aDetail`.
+  void EndAttempt(const std::string& aDetail);
+  // Why the current request ends: `aReason`, unless it is ended before its timeout.
+  std::string EndReason(const std::string& aReason) const;
   void RetryOrFail(ReplyCode aCode, const std::string& aReason);
   void RetryLater();
   bool MayRetry() const;
--- a/src/proxy/DatabaseFleet.h
+++ b/src/proxy/DatabaseFleet.h
@@ -53,6 +53,10 @@
   }
   // Takes back the lent connections that no statement uses.
   void TakeBackIdleLinks() { mLender.TakeBackIdle(Duration::zero()); }
+  void TakeBackAllLinks() { mLender.TakeBackAll(); }
+  // The queues before the databases that this daemon is a home of start no more
+  // statements.
+  void StopStarting();
   // Lends no more connections. Those that are lent stay so until they are returned.
   void StopLending() { mLender.Stop(); }
   std::size_t LentCount() const { return mLender.LentCount(); }
--- a/src/proxy/DatabasePool.cpp
+++ b/src/proxy/DatabasePool.cpp
@@ -75,6 +75,13 @@
   }
 }
 
+void DatabasePool::StopStarting()
+{
+  if (mQueue) {
+    mQueue->StopStarting();
+  }
+}
+
 void DatabasePool::SetStartRate(std::optional<double> aPerSecond)
 {
   if (mQueue && aPerSecond != mStartRate) {
--- a/src/proxy/DatabasePool.h
+++ b/src/proxy/DatabasePool.h
@@ -51,6 +51,8 @@
   // per second.
   void SetSlots(std::size_t aSlots);
   void SetStartRate(std::optional<double> aPerSecond);
+  // The home's queue starts no more statements.
+  void StopStarting();
   void Acquire(std::uint64_t aTicket,
                const LeaseRequest& aRequest,
                GrantCallback aDone);
--- a/src/proxy/DatabaseQueue.cpp
+++ b/src/proxy/DatabaseQueue.cpp
@@ -183,6 +183,12 @@
   Execute(mQueue.SetStartRate(aPerSecond, Clock::now()));
 }
 
+void DatabaseQueue::StopStarting()
+{
+  mIsStopped = true;
+  ApplyLimit("stop");
+}
+
 void DatabaseQueue::Restart(const char* aCause)
 {
   mLimit.Restart(Clock::now());
@@ -279,7 +285,7 @@
       batch.mTerms.mCostClass, now - batch.mSentAt, *outcome, batch.mRunning, now);
   }
   // A lower limit holds before the slot that is free now is given to another statement.
-  auto actions = mQueue.SetLimit(mLimit.Limit(), now);
+  auto actions = SetQueueLimit(now);
   auto started = mQueue.OnEnded(aTicket, code == ReplyCode::Done, now);
   actions.insert(actions.end(), started.begin(), started.end());
   LogLimit(kReplyCodeNames.Name(code), now);
@@ -287,11 +293,16 @@
   Execute(actions);
 }
 
+StatementQueue::Actions DatabaseQueue::SetQueueLimit(TimePoint aNow)
+{
+  return mQueue.SetLimit(mIsStopped ? 0 : mLimit.Limit(), aNow);
+}
+
 void DatabaseQueue::ApplyLimit(std::string_view aCause)
 {
   auto now = Clock::now();
   LogLimit(aCause, now);
-  auto actions = mQueue.SetLimit(mLimit.Limit(), now);
+  auto actions = SetQueueLimit(now);
   if (!actions.empty()) {
     Execute(actions);
   }
--- a/src/proxy/DatabaseQueue.h
+++ b/src/proxy/DatabaseQueue.h
@@ -44,6 +44,9 @@
   void SetSlots(std::size_t aSlots);
   // Limits how many statements start per second; none means no limit.
   void SetStartRate(std::optional<double> aPerSecond);
+  // Starts no more statements. Those that wait stay until they are taken back or their
+  // deadlines pass.
+  void StopStarting();
   // The database has started anew, or is used again after an outage.
   void Restart(const char* aCause);
   // Opening a connection occupies a slot of the database.
@@ -70,6 +73,7 @@
   void Execute(const StatementQueue::Start& aStart);
   void Execute(const StatementQueue::Refuse& aRefuse);
   void OnReplies(std::uint64_t aTicket, std::vector<ConnectionReply> aReplies);
+  StatementQueue::Actions SetQueueLimit(TimePoint aNow);
   void ApplyLimit(std::string_view aCause);
   void LogLimit(std::string_view aCause, TimePoint aNow);
   void SetTick();
@@ -79,6 +83,7 @@
   StatementQueue mQueue;
   ConcurrencyLimit mLimit;
   Timer mTick;
+  bool mIsStopped = false;
   // Connections that are being opened.
   std::size_t mOpenings = 0;
   std::uint64_t mNextTicket = 1;
--- a/src/proxy/FleetHomes.cpp
+++ b/src/proxy/FleetHomes.cpp
@@ -200,6 +200,15 @@
   return (isPrimary && isSecond) || isSilent;
 }
 
+void DatabaseFleet::StopStarting()
+{
+  for (const auto& it : mHomePools) {
+    if (it.second) {
+      it.second->StopStarting();
+    }
+  }
+}
+
 void DatabaseFleet::ApplyColdRates(TimePoint aNow)
 {
   for (const auto& it : mHomePools) {
--- a/src/proxy/LinkLender.cpp
+++ b/src/proxy/LinkLender.cpp
@@ -305,6 +305,16 @@
   }
 }
 
+void LinkLender::TakeBackAll()
+{
+  auto loans = mLoans;
+  for (const auto& it : loans) {
+    if (auto loan = it.lock()) {
+      loan->End();
+    }
+  }
+}
+
 std::size_t LinkLender::LentCount() const
 {
   return std::count_if(mLoans.begin(), mLoans.end(), [](const auto& aIt) {
--- a/src/proxy/LinkLender.h
+++ b/src/proxy/LinkLender.h
@@ -30,6 +30,9 @@
   void Stop() { mIsStopping = true; }
   // Takes back links whose borrower has sent nothing for `aLimit`.
   void TakeBackIdle(Duration aLimit);
+  // Takes back all links. A batch that still waits for a slot is answered as not sent,
+  // one in progress as lost.
+  void TakeBackAll();
   std::size_t LentCount() const;
 
 private:
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -230,54 +230,74 @@
 void Proxy::DrainSessions()
 {
   auto now = Clock::now();
-  if (mDrainPlan->EndsTransactions(now)) {
+  if (mDrainPlan->EndsStatements(now)) {
+    EndStatements();
+  }
+  if (mDrainPlan->EndsSessions(now)) {
     mFleet.TakeBackIdleLinks();
   }
-  bool isAnyOpen = mFleet.LentCount() > 0;
-  for (const auto& it : mSessions) {
-    auto session = it.lock();
-    if (!session) {
-      continue;
-    }
-    isAnyOpen = true;
-    if (mDrainPlan->EndsTransactions(now) && session->IsInTransaction()) {
-      session->EndTransaction("daemon_stopping");
+  auto sessions = OpenSessions();
+  for (const auto& it : sessions) {
+    if (mDrainPlan->EndsSessions(now)) {
+      it->EndTransaction(kStopping);
     }
-    if (mDrainPlan->ClosesIdle(session->AnsweredAt(), now)) {
-      session->Drain();
+    if (mDrainPlan->ClosesIdle(it->AnsweredAt(), now)) {
+      it->Drain();
     }
   }
+  bool isAnyOpen = !sessions.empty() || mFleet.LentCount() > 0;
   if (mOnDrained && mDrainPlan->IsOver(isAnyOpen, now)) {
     std::exchange(mOnDrained, nullptr)();
   }
 }
 
-void Proxy::EndEvacuatedTransactions()
+// What waits is ended first, as it would be sent on the connections and slots that the
+// other statements leave: a write that has not been sent can be refused.
+void Proxy::EndStatements()
 {
-  if (mFleet.CurrentEvacuations().IsEmpty()) {
-    return;
+  mFleet.StopStarting();
+  for (const auto& it : OpenSessions()) {
+    if (!it->IsSending()) {
+      it->EndRequest(kStopping);
+    }
+  }
+  mFleet.TakeBackAllLinks();
+  for (const auto& it : OpenSessions()) {
+    it->EndRequest(kStopping);
   }
+}
+
+std::vector<std::shared_ptr<CallerRun>> Proxy::OpenSessions() const
+{
+  std::vector<std::shared_ptr<CallerRun>> sessions;
   for (const auto& it : mSessions) {
     if (auto session = it.lock()) {
-      session->EndTransactionIfEvacuated();
+      sessions.push_back(std::move(session));
     }
   }
+  return sessions;
+}
+
+void Proxy::EndEvacuatedTransactions()
+{
+  if (mFleet.CurrentEvacuations().IsEmpty()) {
+    return;
+  }
+  for (const auto& it : OpenSessions()) {
+    it->EndTransactionIfEvacuated();
+  }
 }
 
 void Proxy::EndWithdrawnGrants()
 {
-  // A session whose request is refused may be closed and opened anew at once.
-  auto sessions = mSessions;
-  for (const auto& it : sessions) {
-    if (auto session = it.lock()) {
-      session->EndWithdrawnGrant();
-    }
+  for (const auto& it : OpenSessions()) {
+    it->EndWithdrawnGrant();
   }
 }
 
-bool Proxy::ClosesWithAnswer() const
+bool Proxy::EndsSessions() const
 {
-  return mDrainPlan && mDrainPlan->ClosesWithAnswer(Clock::now());
+  return mDrainPlan && mDrainPlan->EndsSessions(Clock::now());
 }
 
 std::vector<daemon::MetricValue> Proxy::Gauges() const
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -86,7 +86,7 @@
   void Admit(const Organisation& aOrganisation,
              TimePoint aDeadline,
              std::function<void(bool, TimePoint)> aVerdict) override;
-  bool ClosesWithAnswer() const override;
+  bool EndsSessions() const override;
   void OnStatement(const std::string& aRoute,
                    ReplyCode aCode,
                    Duration aLatency) override;
@@ -137,6 +137,11 @@
   peer::PrimaryHint HintOf(const std::string& aGroup) const;
   void LogTotals(TimePoint aNow);
   void DrainSessions();
+  // Answers all statements in progress.
+  void EndStatements();
+  // Returns the sessions that are still open. A session that is answered may be closed
+  // and opened anew at once, which changes mSessions.
+  std::vector<std::shared_ptr<CallerRun>> OpenSessions() const;
   // Handles all changes of member records since the last call.
   void ApplyMemberChanges();
   bool IsOwnRegion(const std::string& aZone) const;
--- a/test/core/DrainPlanTest.cpp
+++ b/test/core/DrainPlanTest.cpp
@@ -9,8 +9,9 @@
   CPPUNIT_TEST_SUITE(DrainPlanTest);
   CPPUNIT_TEST(KeepsIdleSessionsOpenWhileNewCallersArrive);
   CPPUNIT_TEST(KeepsAConnectionThatWasJustAnswered);
-  CPPUNIT_TEST(ClosesWithTheAnswerNearTheEnd);
-  CPPUNIT_TEST(TransactionsHaveHalfOfTheTime);
+  CPPUNIT_TEST(SessionsAndTransactionsHaveHalfOfTheTime);
+  CPPUNIT_TEST(AnswersAllBeforeTheKill);
+  CPPUNIT_TEST(AShortTimeLeavesHalfForClosing);
   CPPUNIT_TEST(EndsOnceAllConnectionsAreClosed);
   CPPUNIT_TEST_SUITE_END();
 
@@ -25,7 +26,7 @@
   {
     auto now = kStart + seconds(2);
     CPPUNIT_ASSERT(!mPlan.ClosesIdle(kStart - seconds(60), now));
-    CPPUNIT_ASSERT(!mPlan.ClosesWithAnswer(now));
+    CPPUNIT_ASSERT(!mPlan.EndsSessions(now));
     now += milliseconds(300);
     CPPUNIT_ASSERT(mPlan.ClosesIdle(kStart - seconds(60), now));
   }
@@ -37,18 +38,42 @@
     CPPUNIT_ASSERT(mPlan.ClosesIdle(now - milliseconds(100), now));
   }
 
-  void ClosesWithTheAnswerNearTheEnd()
+  void SessionsAndTransactionsHaveHalfOfTheTime()
   {
-    CPPUNIT_ASSERT(!mPlan.ClosesWithAnswer(kStart + seconds(5)));
-    CPPUNIT_ASSERT(mPlan.ClosesWithAnswer(kStart + seconds(6)));
-    auto now = kStart + seconds(6);
-    CPPUNIT_ASSERT(mPlan.ClosesIdle(now, now));
+    auto half = kStart + seconds(4);
+    CPPUNIT_ASSERT(!mPlan.EndsSessions(half - milliseconds(1)));
+    CPPUNIT_ASSERT(!mPlan.ClosesIdle(half - milliseconds(1), half - milliseconds(1)));
+    CPPUNIT_ASSERT(mPlan.EndsSessions(half));
+    CPPUNIT_ASSERT(mPlan.ClosesIdle(half, half));
   }
 
-  void TransactionsHaveHalfOfTheTime()
+  // Guards against a process that ends, or is killed, with requests that have no answer
+  // (review/7).
+  void AnswersAllBeforeTheKill()
   {
-    CPPUNIT_ASSERT(!mPlan.EndsTransactions(kStart + milliseconds(3999)));
-    CPPUNIT_ASSERT(mPlan.EndsTransactions(kStart + seconds(4)));
+    for (int graceMs : { 1000, 2000, 6000, 30'000 }) {
+      auto killAt = kStart + milliseconds(graceMs);
+      auto lastSixth = killAt - milliseconds(graceMs) / 6;
+      DrainPlan plan(kStart, killAt);
+      CPPUNIT_ASSERT(!plan.EndsStatements(lastSixth));
+      auto endsAt = kStart;
+      while (!plan.EndsStatements(endsAt)) {
+        endsAt += milliseconds(1);
+      }
+      // Callers have some time to receive the answers.
+      CPPUNIT_ASSERT(!plan.IsOver(true, endsAt + milliseconds(50)));
+      CPPUNIT_ASSERT(plan.IsOver(true, killAt - milliseconds(50)));
+    }
+  }
+
+  // Guards against sessions that are never closed since the process ends before the
+  // load balancer has noticed its shutdown.
+  void AShortTimeLeavesHalfForClosing()
+  {
+    DrainPlan plan(kStart, kStart + seconds(2));
+    CPPUNIT_ASSERT(!plan.ClosesIdle(kStart, kStart + milliseconds(999)));
+    CPPUNIT_ASSERT(plan.ClosesIdle(kStart, kStart + seconds(1)));
+    CPPUNIT_ASSERT(plan.IsOver(false, kStart + seconds(1)));
   }
 
   void EndsOnceAllConnectionsAreClosed()
--- a/test/platform/ObjectStoreTest.cpp
+++ b/test/platform/ObjectStoreTest.cpp
@@ -617,8 +617,8 @@
         std::to_string(graceMs / 1000.0) + "}}");
       CPPUNIT_ASSERT(settings.has_value());
       DrainPlan plan(kStart, kStart + settings->mGrace);
-      CPPUNIT_ASSERT(!plan.EndsTransactions(kStart + grace / 2 - milliseconds(1)));
-      CPPUNIT_ASSERT(plan.EndsTransactions(kStart + grace / 2));
+      CPPUNIT_ASSERT(!plan.EndsSessions(kStart + grace / 2 - milliseconds(1)));
+      CPPUNIT_ASSERT(plan.EndsSessions(kStart + grace / 2));
       CPPUNIT_ASSERT(plan.IsOver(true, kStart + grace - milliseconds(25)));
     }
   }
--- a/test/proxy/CallerRunTest.cpp
+++ b/test/proxy/CallerRunTest.cpp
@@ -34,6 +34,12 @@
   CPPUNIT_TEST(ACallerThatDisconnectsReleasesItsConnection);
   CPPUNIT_TEST(ReadsAfterAnOwnCommitMustSeeIt);
   CPPUNIT_TEST(DrainClosesTheSessionOnceItIsIdle);
+  CPPUNIT_TEST(AWaitingStatementIsAnsweredWhenTheDaemonStops);
+  CPPUNIT_TEST(AReadUnderWayIsAnsweredAndNotSentAgainWhenTheDaemonStops);
+  CPPUNIT_TEST(AWriteUnderWayIsUnknownWhenTheDaemonStops);
+  CPPUNIT_TEST(AStatementOfATransactionIsAbortedWhenTheDaemonStops);
+  CPPUNIT_TEST(AnUnconfirmedReplyIsAnsweredWhenTheDaemonStops);
+  CPPUNIT_TEST(SessionsAndTransactionsAreRefusedWhileTheDaemonStops);
   CPPUNIT_TEST(ReadThatFailedRunsAtAnotherDatabase);
   CPPUNIT_TEST(ReadThatFailsAtAllDatabasesIsAnsweredAsFailed);
   CPPUNIT_TEST(WriteThatFailedIsNotRunAgain);
@@ -414,6 +420,106 @@
     CPPUNIT_ASSERT(mStream->mIsClosed);
   }
 
+  // Ends the request as a daemon does that is about to end, and checks the answer.
+  void AssertEndsWith(ReplyCode aCode)
+  {
+    auto answers = mStream->mAnswers.size();
+    mEnvironment->mIsDraining = true;
+    mSession->EndRequest(kStopping);
+    CPPUNIT_ASSERT_EQUAL(answers + 1, mStream->mAnswers.size());
+    AssertCode(aCode);
+    CPPUNIT_ASSERT(Last().mDetail.starts_with(kStopping));
+    mEnvironment->AdvanceTime(seconds(2));
+    CPPUNIT_ASSERT_EQUAL(answers + 1, mStream->mAnswers.size());
+    CPPUNIT_ASSERT(mBackend->mPendingAcquires.empty());
+  }
+
+  // The tests of AssertEndsWith guard against a stopped daemon that ends its process
+  // with requests that have no answer (review/7). First: one that waits for a
+  // connection, for its organisation's rate, and for the pause before a retry.
+  void AWaitingStatementIsAnsweredWhenTheDaemonStops()
+  {
+    Ask(RequestKind::Write, "WRITE a v");
+    AssertEndsWith(ReplyCode::Busy);
+    CPPUNIT_ASSERT(mStream->mIsClosed);
+
+    mEnvironment->mIsDraining = false;
+    Connect("strict");
+    mEnvironment->mAdmitsAtOnce = false;
+    Ask(RequestKind::Write, "WRITE a v");
+    AssertEndsWith(ReplyCode::Busy);
+    mEnvironment->mVerdicts.front()(true, mEnvironment->mNow);
+    CPPUNIT_ASSERT(mBackend->mPendingAcquires.empty());
+
+    mEnvironment->mAdmitsAtOnce = true;
+    mEnvironment->mIsDraining = false;
+    Connect("strict");
+    Ask(RequestKind::Write, "WRITE a v");
+    mBackend->Grant("i-1", true)->Answer(Refused(ReplyCode::Busy));
+    AssertEndsWith(ReplyCode::Busy);
+  }
+
+  void AReadUnderWayIsAnsweredAndNotSentAgainWhenTheDaemonStops()
+  {
+    Connect("aged");
+    Ask(RequestKind::Read, "READ a");
+    auto link = mBackend->Grant("i-2", false);
+    AssertEndsWith(ReplyCode::Aborted);
+    CPPUNIT_ASSERT(link->mIsClosed);
+    CPPUNIT_ASSERT(mStream->mIsClosed);
+  }
+
+  void AWriteUnderWayIsUnknownWhenTheDaemonStops()
+  {
+    Ask(RequestKind::Write, "WRITE a v");
+    mBackend->Grant("i-1", true);
+    AssertEndsWith(ReplyCode::Unknown);
+
+    mEnvironment->mIsDraining = false;
+    Connect("strict");
+    Ask(RequestKind::Begin);
+    Ask(RequestKind::Write, "WRITE a v");
+    auto link = mBackend->Grant("i-1", true);
+    link->Answer(Done("", TransactionState::Open));
+    link->Answer(Done("d1", TransactionState::Open));
+    Ask(RequestKind::Commit, "COMMIT");
+    AssertEndsWith(ReplyCode::Unknown);
+    CPPUNIT_ASSERT(mStream->mIsClosed);
+  }
+
+  void AStatementOfATransactionIsAbortedWhenTheDaemonStops()
+  {
+    auto link = BeginAndRead();
+    Ask(RequestKind::Write, "WRITE a v");
+    AssertEndsWith(ReplyCode::Aborted);
+    CPPUNIT_ASSERT(link->mIsClosed);
+    Ask(RequestKind::Rollback, "ROLLBACK");
+    AssertCode(ReplyCode::Done);
+    CPPUNIT_ASSERT(mStream->mIsClosed);
+  }
+
+  void AnUnconfirmedReplyIsAnsweredWhenTheDaemonStops()
+  {
+    mBackend->mAreRepliesTrusted = false;
+    Ask(RequestKind::Write, "WRITE a v");
+    mBackend->Grant("i-1", true)->Answer(Done("d1"));
+    AssertEndsWith(ReplyCode::Unknown);
+  }
+
+  // Guards against a transaction that is begun only to be rolled back, and a session
+  // that is opened only to be closed.
+  void SessionsAndTransactionsAreRefusedWhileTheDaemonStops()
+  {
+    mEnvironment->mIsDraining = true;
+    Ask(RequestKind::Begin);
+    AssertCode(ReplyCode::Busy);
+    CPPUNIT_ASSERT(Last().mTransaction == TransactionState::None);
+    CPPUNIT_ASSERT(mStream->mIsClosed);
+
+    Connect("strict");
+    CPPUNIT_ASSERT(mStream->mRefusal == ReplyCode::Busy);
+  }
+
   // Covers a database that fails part of its requests while its health probe succeeds:
   // a read that fails there must run at another database.
   void ReadThatFailedRunsAtAnotherDatabase()
--- a/test/proxy/FakeBackend.h
+++ b/test/proxy/FakeBackend.h
@@ -217,7 +217,7 @@
       mVerdicts.push_back(std::move(aVerdict));
     }
   }
-  bool ClosesWithAnswer() const override { return mIsDraining; }
+  bool EndsSessions() const override { return mIsDraining; }
   void OnStatement(const std::string&, ReplyCode, Duration) override {}
 
   // Advances the clock and runs all timers that become due.
--- a/test/proxy/LendingTest.cpp
+++ b/test/proxy/LendingTest.cpp
@@ -89,6 +89,7 @@
   CPPUNIT_TEST(SecondHomeLendsWhileTheFirstDoesNotAnswer);
   CPPUNIT_TEST(DaemonWithoutAnyHomeOpensOneConnection);
   CPPUNIT_TEST(StoppingHomeLendsNoMore);
+  CPPUNIT_TEST(StatementThatWaitsAtAStoppedHomeIsNotUnknown);
   CPPUNIT_TEST(TransactionOfAGoneBorrowerEndsWithItsConnection);
   CPPUNIT_TEST(BorrowerReportsNothingOfAPrimary);
   CPPUNIT_TEST_SUITE_END();
@@ -217,6 +218,33 @@
     CPPUNIT_ASSERT(world.mSecond->mDatabases.Accept("old") != nullptr);
   }
 
+  // Guards against a write that its caller must take for possibly done although it had
+  // only waited at a home when that ended.
+  void StatementThatWaitsAtAStoppedHomeIsNotUnknown()
+  {
+    LendingWorld world;
+    auto& borrower = *world.mBorrower;
+    auto first = borrower.Connect("strict");
+    auto running = borrower.mStream;
+    borrower.Ask(*first, proxy::RequestKind::Write, "WRITE 1 v");
+    world.Run();
+    auto link = world.mFirst->mDatabases.Accept("old");
+    world.Run();
+    CPPUNIT_ASSERT_EQUAL(1, link->mBatches);
+    auto second = borrower.Connect("strict");
+    borrower.Ask(*second, proxy::RequestKind::Write, "WRITE 2 v");
+    world.Run();
+    auto other = world.mFirst->mDatabases.Accept("old");
+    world.Run();
+    CPPUNIT_ASSERT(other != nullptr && other->mBatches == 0);
+    world.mFirst->mFleet.StopStarting();
+    world.mFirst->mFleet.TakeBackAllLinks();
+    world.Run();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), world.mFirst->mFleet.LentCount());
+    CPPUNIT_ASSERT_EQUAL(std::string("busy"), borrower.LastCode());
+    CPPUNIT_ASSERT(running->mAnswers.back().mCode == ReplyCode::Unknown);
+  }
+
   // Guards against an open transaction that the next borrower of its connection joins.
   void TransactionOfAGoneBorrowerEndsWithItsConnection()
   {
--- a/test/proxy/ProxyDaemon.h
+++ b/test/proxy/ProxyDaemon.h
@@ -162,6 +162,19 @@
   }
 };
 
+// A route of each ProxyDaemon to a group without databases, open to callers without a
+// key.
+constexpr const char* kOpenRoute = "open";
+
+inline RouteEntry OpenRoute()
+{
+  RouteEntry route;
+  route.mName = kOpenRoute;
+  route.mGroup = "g";
+  route.mOpen = true;
+  return route;
+}
+
 // Speed in the settings of each ProxyDaemon.
 inline constexpr double kProxySpeed = 0.75;
 
@@ -195,6 +208,7 @@
       [this](const StoredObject& aObject) -> tl::expected<Catalogue, std::string> {
       Catalogue catalogue;
       catalogue.mVersion = RevisionInStore(aObject.mVersion);
+      catalogue.mRoutes[kOpenRoute] = OpenRoute();
       mConfiguration = aObject.mBody;
       return catalogue;
     };
@@ -256,6 +270,29 @@
     }
     return false;
   }
+  // Opens a session on kOpenRoute and sends a request in it.
+  void Ask(const std::shared_ptr<proxy::CallerStream>& aStream,
+           proxy::CallerRequest aRequest)
+  {
+    mSession = OnLoop<proxy::CallerSessionPtr>([&] {
+      auto session = mProxy->Open(aStream);
+      session->OnConnect(kOpenRoute, {});
+      session->OnRequest(std::move(aRequest));
+      return session;
+    });
+  }
+  // Stops the daemon as SIGTERM does, with this time until it would be killed. Returns
+  // what `aCheck` says when the process would end; false if it would be killed first.
+  bool DrainFor(Duration aGrace, std::function<bool()> aCheck)
+  {
+    auto killAt = Clock::now() + aGrace;
+    auto verdict = std::make_shared<std::promise<bool>>();
+    auto future = verdict->get_future();
+    mLoop.Post([this, killAt, verdict, check = std::move(aCheck)] {
+      mProxy->Drain(killAt, [verdict, check] { verdict->set_value(check()); });
+    });
+    return future.wait_until(killAt) == std::future_status::ready && future.get();
+  }
   // Number of zones whose evacuation is in force.
   double EvacuatedZones() { return Gauge("zones.evacuated"); }
   // Age of this daemon's information about the store, in seconds.
@@ -288,6 +325,7 @@
   std::string mConfiguration;
   std::unique_ptr<Proxy> mProxy;
   std::unique_ptr<peer::CapnpPeers> mPeers;
+  proxy::CallerSessionPtr mSession;
   std::thread mThread;
 };
 
