sesamed answers the statements that still run when its drain ends

Callers saw: a statement with a timeout above 30 s that still ran when a drain of sesamed ended lost its stream without an answer.

The drain waited for 30 s and then ended the server, whatever was under way.

Evidence: CallerServerTest::StatementsUnderWayAreAnsweredBeforeTheServerEnds fails where AnswerAll does nothing (0 of 2 answers).

Change: after the wait, each stream answers its running statement (as unknown if it may have an effect, otherwise as not run) and those that wait behind it (as not run), and ends. A later end of the running statement is dropped.

Why it works: the answer to an abandoned statement is known when it begins.

--- a/src/caller/CallerServer.cpp
+++ b/src/caller/CallerServer.cpp
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <mutex>
+#include <utility>
 
 namespace sesameway::caller {
 
@@ -61,6 +62,24 @@
     FinishIfIdle(lock);
   }
 
+  // Answers the accepted statements without waiting for their end, so that the stream
+  // ends.
+  void AnswerAll()
+  {
+    std::unique_lock lock(mMutex);
+    mEnded = true;
+    if (std::exchange(mRunning, false)) {
+      mIsAbandoned = true;
+      Queue(mAnswerIfAbandoned);
+    }
+    for (const auto& it : std::exchange(mWaiting, {})) {
+      auto answer = NotRun(Reason::Draining, Clock::now());
+      answer.mId = it.mId;
+      Queue(answer);
+    }
+    FinishIfIdle(lock);
+  }
+
   void OnReadDone(bool aOk) override
   {
     if (!aOk) {
@@ -148,10 +167,17 @@
       mRunning = true;
       statement = std::move(mWaiting.front());
       mWaiting.pop_front();
+      mAnswerIfAbandoned = statement.MayHaveEffect()
+                             ? Unknown(Reason::Draining)
+                             : NotRun(Reason::Draining, Clock::now());
+      mAnswerIfAbandoned.mId = statement.mId;
     }
     mSession->Execute(std::move(statement), [self = mSelf](Answer aAnswer) {
       {
         std::unique_lock lock(self->mMutex);
+        if (self->mIsAbandoned) {
+          return;
+        }
         self->mRunning = false;
         self->Queue(aAnswer);
         if (self->FinishIfIdle(lock)) {
@@ -202,6 +228,10 @@
   std::deque<Statement> mWaiting;
   std::deque<wire::CallerAnswer> mOutgoing;
   std::uint64_t mLastId = 0;
+  // The answer to the running statement if it is not waited for, and whether it has
+  // been given.
+  Answer mAnswerIfAbandoned;
+  bool mIsAbandoned = false;
   bool mRunning = false;
   bool mWriting = false;
   bool mIsReadPaused = false;
@@ -254,6 +284,13 @@
   }
 }
 
+void CallerServer::AnswerAll()
+{
+  for (const auto& it : mStreams->All()) {
+    it->AnswerAll();
+  }
+}
+
 std::size_t CallerServer::OpenSessions() const
 {
   return mStreams->All().size();
--- a/src/caller/CallerServer.h
+++ b/src/caller/CallerServer.h
@@ -40,6 +40,9 @@
   // statements are written; its trailing metadata holds the id of the last accepted
   // one.
   void CloseSessions();
+  // Answers the accepted statements without waiting for their end, so that all streams
+  // end: those that have begun and may have an effect as unknown, others as not run.
+  void AnswerAll();
   std::size_t OpenSessions() const;
 
 private:
--- a/src/daemon/SesamedMain.cpp
+++ b/src/daemon/SesamedMain.cpp
@@ -80,6 +80,7 @@
 }
 
 // Drains the daemon without interrupting a request that ends within kDrainTimeout.
+// Later ones are answered before the process ends.
 void Drain(daemon::Engine& aEngine, caller::CallerServer& aCallers)
 {
   auto limit = Clock::now() + kDrainTimeout;
@@ -91,6 +92,7 @@
   WaitUntil(limit, [&] { return aEngine.OpenWork() == 0; });
   aCallers.CloseSessions();
   WaitUntil(limit, [&] { return aCallers.OpenSessions() == 0; });
+  aCallers.AnswerAll();
   WaitUntil(Clock::now() + kFlushTime, [] { return false; });
 }
 
