--- /dev/null
+++ b/test/shell/ProxyProgramTest.cpp
@@ -0,0 +1,74 @@
+#include "proxy/FreeAddress.h"
+#include "shell/Processes.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <csignal>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+using namespace sesameway;
+using namespace sesameway::test;
+
+// Tests of sesameproxy as a process.
+class ProxyProgramTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(ProxyProgramTest);
+  CPPUNIT_TEST(AStopKeepsToTheSettingsOfThatMoment);
+  CPPUNIT_TEST_SUITE_END();
+
+  std::filesystem::path mFolder;
+
+public:
+  void setUp() override
+  {
+    auto name = (std::filesystem::temp_directory_path() / "proxy-XXXXXX").string();
+    CPPUNIT_ASSERT(mkdtemp(name.data()));
+    mFolder = name;
+  }
+  void tearDown() override { std::filesystem::remove_all(mFolder); }
+
+private:
+  static std::string SettingsWith(int aGraceS, const std::vector<std::string>& aFree)
+  {
+    auto port = aFree[2].substr(aFree[2].find(':') + 1);
+    return R"({"nodeName":"f1","zone":"z","ip":"127.0.0.2","zones":{"z":"r"},)"
+           R"("listen":{"front":")" +
+           aFree[0] + R"(","ready":")" + aFree[1] + R"(","control":")" + aFree[3] +
+           R"("},"portRange":[)" + port + ',' + port + R"(],"platform":{"addr":")" +
+           aFree[4] + R"("},"cloud":{"addr":")" + aFree[4] +
+           R"("},"parameters":{"graceS":)" + std::to_string(aGraceS) + "}}";
+  }
+
+  bool HasLogged(const std::string& aText) const
+  {
+    std::ostringstream text;
+    text << std::ifstream(mFolder / "log").rdbuf();
+    return text.str().find(aText) != std::string::npos;
+  }
+
+  // Guards against a stop that keeps to a time until the kill that has become shorter
+  // since the settings were read last, so that the process is killed with requests
+  // under way.
+  void AStopKeepsToTheSettingsOfThatMoment()
+  {
+    constexpr int kGraceS = 2;
+    std::vector<std::string> addresses;
+    for (int n = 0; n < 5; ++n) {
+      addresses.push_back(FreeAddress());
+    }
+    auto file = (mFolder / "settings.json").string();
+    std::ofstream(file) << SettingsWith(6, addresses);
+    Process process("sesameproxy", { "--settings", file }, mFolder / "log");
+    auto deadline = Clock::now() + seconds(10);
+    while (!HasLogged("event=started") && Clock::now() < deadline) {
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+    std::ofstream(file) << SettingsWith(kGraceS, addresses);
+    process.Signal(SIGTERM);
+    CPPUNIT_ASSERT_EQUAL(0, process.Wait(Clock::now() + seconds(kGraceS)));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ProxyProgramTest);
