--- a/test/shell/Processes.cpp
+++ b/test/shell/Processes.cpp
@@ -157,11 +157,6 @@
 Cluster::Cluster(ClusterOptions aOptions)
   : mOptions(std::move(aOptions))
 {
-  auto name = (std::filesystem::temp_directory_path() / "sesameway-XXXXXX").string();
-  if (!mkdtemp(name.data())) {
-    throw std::runtime_error("no temporary folder");
-  }
-  mFolder = name;
   ReservePorts();
   StartPlatform();
   for (int group = 0; group < mOptions.mGroups; ++group) {
@@ -190,8 +185,6 @@
   mDatabases.clear();
   mPlatform.reset();
   close(mGuard);
-  std::error_code ec;
-  std::filesystem::remove_all(mFolder, ec);
 }
 
 std::string Cluster::Address(int aOffset) const
@@ -248,7 +241,7 @@
   mPlatform = std::make_unique<Process>(
     "sesamestand",
     std::vector<std::string>{ "--platform", "--address", PlatformAddress() },
-    mFolder / "log");
+    Folder() / "log");
   if (!WaitUntil([&] { return !Counts(PlatformAddress()).contains("unreachable"); },
                  kReadyTimeout)) {
     throw std::runtime_error("platform not ready: " + Log());
@@ -274,7 +267,7 @@
   };
   arguments.push_back(aFollows.empty() ? "--primary" : "--follows=" + aFollows);
   mDatabases[{ aGroup, aDatabase }] =
-    std::make_unique<Process>("sesamestand", arguments, mFolder / "log");
+    std::make_unique<Process>("sesamestand", arguments, Folder() / "log");
   if (!WaitUntil([&] { return !Counts(address).contains("unreachable"); },
                  kReadyTimeout)) {
     throw std::runtime_error("database not ready: " + Log());
@@ -296,7 +289,7 @@
                          const std::string& aName,
                          const std::string& aBody)
 {
-  auto folder = mFolder / "catalogue" / aKind;
+  auto folder = Folder() / "catalogue" / aKind;
   std::filesystem::create_directories(folder);
   std::ofstream(folder / (aName + ".toml")) << aBody;
 }
@@ -342,20 +335,20 @@
 {
   return Run(
     "sesamectl",
-    { "--platform", PlatformAddress(), "apply", (mFolder / "catalogue").string() });
+    { "--platform", PlatformAddress(), "apply", (Folder() / "catalogue").string() });
 }
 
 int Cluster::Run(const std::string& aProgram,
                  const std::vector<std::string>& aArguments)
 {
-  Process process(aProgram, aArguments, mFolder / "log");
+  Process process(aProgram, aArguments, Folder() / "log");
   return process.Wait(Clock::now() + kReadyTimeout);
 }
 
 void Cluster::WriteSettings(int aDaemon)
 {
   auto number = std::to_string(aDaemon);
-  std::ofstream(mFolder / ("vm-" + number + ".toml"))
+  std::ofstream(Folder() / ("vm-" + number + ".toml"))
     << "name = \"vm-" << number << "\"\nzone = \"zone-" << aDaemon % mOptions.mZones
     << "\"\nregion = \"region-0\"\ncaller_address = " << Quoted(CallerAddress(aDaemon))
     << "\npeer_address = " << Quoted(PeerAddress(aDaemon))
@@ -382,11 +375,11 @@
   WriteSettings(aDaemon);
   SetVm(aDaemon, false, false);
   mDaemons.erase(aDaemon);
-  auto settings = mFolder / ("vm-" + std::to_string(aDaemon) + ".toml");
+  auto settings = Folder() / ("vm-" + std::to_string(aDaemon) + ".toml");
   mDaemons[aDaemon] = std::make_unique<Process>(
     "sesamed",
     std::vector<std::string>{ "--settings", settings.string() },
-    mFolder / "log");
+    Folder() / "log");
 }
 
 void Cluster::WaitReady(int aDaemon)
@@ -456,7 +449,7 @@
 std::string Cluster::Log() const
 {
   std::ostringstream text;
-  text << std::ifstream(mFolder / "log").rdbuf();
+  text << std::ifstream(Folder() / "log").rdbuf();
   return text.str();
 }
 
--- a/test/shell/Processes.h
+++ b/test/shell/Processes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "caller/SessionClient.h"
+#include "shell/TemporaryFolder.h"
 #include "standin.pb.h"
 
 #include <sys/types.h>
@@ -121,7 +122,7 @@
   int Run(const std::string& aProgram, const std::vector<std::string>& aArguments);
   // Returns the output of all processes so far.
   std::string Log() const;
-  const std::filesystem::path& Folder() const { return mFolder; }
+  const std::filesystem::path& Folder() const { return mFolder.Path(); }
 
 private:
   void ReservePorts();
@@ -132,7 +133,7 @@
   std::string Address(int aOffset) const;
 
   ClusterOptions mOptions;
-  std::filesystem::path mFolder;
+  TemporaryFolder mFolder;
   int mFirstPort = 0;
   // Socket bound to the first port of the block, which keeps other test programs from
   // using the block.
--- a/test/shell/ProgramsTest.cpp
+++ b/test/shell/ProgramsTest.cpp
@@ -1,5 +1,6 @@
 #include "TestMain.h"
 #include "shell/Processes.h"
+#include "shell/TemporaryFolder.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -25,12 +26,12 @@
     std::string mText;
   };
 
-  std::filesystem::path mFolder;
+  TemporaryFolder mFolder;
 
   Result Run(const std::string& aProgram,
              const std::vector<std::string>& aArguments) const
   {
-    auto log = mFolder / "log";
+    auto log = mFolder.Path() / "log";
     std::filesystem::remove(log);
     Process process(aProgram, aArguments, log);
     int code = process.Wait(Clock::now() + seconds(20));
@@ -39,16 +40,6 @@
     return { code, text.str() };
   }
 
-public:
-  void setUp() override
-  {
-    auto name = (std::filesystem::temp_directory_path() / "programs-XXXXXX").string();
-    CPPUNIT_ASSERT(mkdtemp(name.data()));
-    mFolder = name;
-  }
-  void tearDown() override { std::filesystem::remove_all(mFolder); }
-
-private:
   void EveryProgramShowsHelpAndVersion()
   {
     for (const char* it : { "sesamed", "sesamectl", "sesameload", "sesamestand" }) {
@@ -74,7 +65,7 @@
 
   void CheckSettingsNamesFileKeyAndExpectation()
   {
-    auto file = (mFolder / "settings.toml").string();
+    auto file = (mFolder.Path() / "settings.toml").string();
     std::string valid = "name = \"vm-1\"\nzone = \"zone-1\"\nregion = \"region-1\"\n"
                         "caller_address = \"127.0.0.1:7000\"\n"
                         "peer_address = \"127.0.0.1:7001\"\n"
--- a/test/shell/ProxyProgramTest.cpp
+++ b/test/shell/ProxyProgramTest.cpp
@@ -1,5 +1,6 @@
 #include "proxy/FreeAddress.h"
 #include "shell/Processes.h"
+#include "shell/TemporaryFolder.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -18,18 +19,8 @@
   CPPUNIT_TEST(AStopKeepsToTheSettingsOfThatMoment);
   CPPUNIT_TEST_SUITE_END();
 
-  std::filesystem::path mFolder;
+  TemporaryFolder mFolder;
 
-public:
-  void setUp() override
-  {
-    auto name = (std::filesystem::temp_directory_path() / "proxy-XXXXXX").string();
-    CPPUNIT_ASSERT(mkdtemp(name.data()));
-    mFolder = name;
-  }
-  void tearDown() override { std::filesystem::remove_all(mFolder); }
-
-private:
   static std::string SettingsWith(int aGraceS, const std::vector<std::string>& aFree)
   {
     auto port = aFree[2].substr(aFree[2].find(':') + 1);
@@ -44,7 +35,7 @@
   bool HasLogged(const std::string& aText) const
   {
     std::ostringstream text;
-    text << std::ifstream(mFolder / "log").rdbuf();
+    text << std::ifstream(mFolder.Path() / "log").rdbuf();
     return text.str().find(aText) != std::string::npos;
   }
 
@@ -58,9 +49,9 @@
     for (int n = 0; n < 5; ++n) {
       addresses.push_back(FreeAddress());
     }
-    auto file = (mFolder / "settings.json").string();
+    auto file = (mFolder.Path() / "settings.json").string();
     std::ofstream(file) << SettingsWith(6, addresses);
-    Process process("sesameproxy", { "--settings", file }, mFolder / "log");
+    Process process("sesameproxy", { "--settings", file }, mFolder.Path() / "log");
     auto deadline = Clock::now() + seconds(10);
     while (!HasLogged("event=started") && Clock::now() < deadline) {
       std::this_thread::sleep_for(milliseconds(20));
