Tests of a stop don't depend on short times

CallerServerTest waited 100 ms for its second statement to arrive and 300 ms for the answers. It now sends more statements than may wait: the refusal of the last one shows that all others were accepted, and each of them must be answered.

--- a/test/proxy/DrainTest.cpp
+++ b/test/proxy/DrainTest.cpp
@@ -15,7 +15,7 @@
   // before their timeout, so that their connections end without an answer (review/7).
   void StatementUnderWayIsAnsweredBeforeTheProcessEnds()
   {
-    constexpr Duration kGrace = seconds(2);
+    constexpr Duration kGrace = seconds(6);
     auto* daemon = new ProxyDaemon("a", FreeAddress(), {}, false);
     daemon->Write({ kConfiguration, 1, 2, "small", false });
     daemon->Run();
--- a/test/shell/CallerServerTest.cpp
+++ b/test/shell/CallerServerTest.cpp
@@ -5,7 +5,6 @@
 #include <grpcpp/grpcpp.h>
 
 #include <functional>
-#include <future>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -17,6 +16,8 @@
 namespace {
 
 constexpr Duration kTimeout = seconds(10);
+// More than may wait in a session.
+constexpr std::uint64_t kStatements = 100;
 
 // Sessions whose statements end only when the test says so.
 class StuckSessions : public caller::SessionFactory
@@ -109,31 +110,34 @@
     auto send = [&](std::uint64_t aId, OperationKind aKind) {
       stream->Write(wire::MakeCallerRequest(MakeStatement(aId, aKind), Clock::now()));
     };
-    send(1, OperationKind::Put);
-    // This one waits for the first.
-    send(2, OperationKind::Put);
+    for (std::uint64_t id = 1; id <= kStatements; ++id) {
+      send(id, OperationKind::Put);
+    }
+    std::map<std::uint64_t, Answer> answers;
+    wire::CallerAnswer incoming;
+    auto read = [&] {
+      bool isRead = stream->Read(&incoming);
+      if (isRead) {
+        answers[incoming.id()] = wire::ReadCallerAnswer(incoming, Clock::now());
+      }
+      return isRead;
+    };
+    // The last one finds the queue full, so those before it have been accepted.
+    while (answers.count(kStatements) == 0 && read()) {
+    }
     WaitFor([&] { return sessions.Running() > 0; });
-    std::this_thread::sleep_for(milliseconds(100));
 
     callers.CloseSessions();
     callers.AnswerAll();
-    std::map<std::uint64_t, Answer> answers;
-    wire::CallerAnswer incoming;
-    // A process that ends would break the streams that are open by now.
-    auto breaker = std::async(std::launch::async, [&] {
-      std::this_thread::sleep_for(milliseconds(300));
-      context.TryCancel();
-    });
-    while (stream->Read(&incoming)) {
-      answers[incoming.id()] = wire::ReadCallerAnswer(incoming, Clock::now());
+    while (read()) {
     }
-    breaker.wait();
     WaitFor([&] {
       sessions.EndAll();
       return callers.OpenSessions() == 0;
     });
     server->Shutdown(std::chrono::system_clock::now());
-    CPPUNIT_ASSERT_EQUAL(std::size_t(2), answers.size());
+    CPPUNIT_ASSERT(answers[kStatements].mReason == Reason::QueueFull);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(kStatements), answers.size());
     CPPUNIT_ASSERT(answers[1].mOutcome == Outcome::Unknown);
     CPPUNIT_ASSERT(answers[1].mReason == Reason::Draining);
     CPPUNIT_ASSERT(answers[2].mOutcome == Outcome::NotRun);
