A stopping daemon closes no session that is in use before its next answer

Callers would see: a single write that arrives just after its session was closed at half of the time until the kill has no answer, and its caller may not send it again.

Cause: from then on sessions were closed at the next tick, 60 ms at most, also those whose caller had just been answered and sends its next statement at once.

Change: a session is closed when it has been idle for 100 ms, or with its next answer; only when all statements are ended, shortly before the kill, is it closed at once.

Evidence: DrainPlanTest::ClosesNoSessionInUseBeforeTheEnd fails before (6 passed, 1 failed), passes after (7 of 7); proxy tests 168 of 168.

Why it works: a close that comes with an answer reaches the caller before it sends again.

--- a/src/core/DrainPlan.cpp
+++ b/src/core/DrainPlan.cpp
@@ -36,7 +36,7 @@
 
 bool DrainPlan::ClosesIdle(TimePoint aIdleSince, TimePoint aNow) const
 {
-  bool isIdle = aNow - aIdleSince >= kIdleBeforeClose || EndsSessions(aNow);
+  bool isIdle = aNow - aIdleSince >= kIdleBeforeClose || EndsStatements(aNow);
   return aNow >= mOutOfRotation && isIdle;
 }
 
