--- a/src/core/DrainPlan.cpp
+++ b/src/core/DrainPlan.cpp
@@ -25,7 +25,7 @@
 } // namespace
 
 // A statement that is taken in the second half may reach the kill before its timeout,
-// so none is taken then that another daemon can serve.
+// so sessions end with the first half.
 DrainPlan::DrainPlan(TimePoint aSince, TimePoint aKillAt)
   : mEndSessionsAt(aSince + (aKillAt - aSince) / 2)
   , mOutOfRotation(std::min(aSince + kOutOfRotation, mEndSessionsAt))
