Links are taken back while others wait for them without freed memory

Cause: TakeBackIdle went through the list of loans while it ended them. A connection that is taken back clean is lent anew at once if a request waits for it, which changes the list: it is moved when it grows, and the loop goes on in freed memory.

Change: TakeBackIdle, TakeBackAll and LentCount go through OpenLoans, which returns the open loans of that moment.

Why it works: what is lent anew is not in the list that is gone through.

--- a/src/proxy/LinkLender.cpp
+++ b/src/proxy/LinkLender.cpp
@@ -297,30 +297,35 @@
 void LinkLender::TakeBackIdle(Duration aLimit)
 {
   auto since = Clock::now() - aLimit;
-  for (const auto& it : mLoans) {
-    auto loan = it.lock();
-    if (loan && loan->IsIdleSince(since)) {
-      loan->End();
+  for (const auto& it : OpenLoans()) {
+    if (it->IsIdleSince(since)) {
+      it->End();
     }
   }
 }
 
 void LinkLender::TakeBackAll()
 {
-  auto loans = mLoans;
-  for (const auto& it : loans) {
-    if (auto loan = it.lock()) {
-      loan->End();
-    }
+  for (const auto& it : OpenLoans()) {
+    it->End();
   }
 }
 
 std::size_t LinkLender::LentCount() const
 {
-  return std::count_if(mLoans.begin(), mLoans.end(), [](const auto& aIt) {
-    auto loan = aIt.lock();
-    return loan && loan->IsOpen();
-  });
+  return OpenLoans().size();
+}
+
+std::vector<std::shared_ptr<LinkLender::Loan>> LinkLender::OpenLoans() const
+{
+  std::vector<std::shared_ptr<Loan>> loans;
+  for (const auto& it : mLoans) {
+    auto loan = it.lock();
+    if (loan && loan->IsOpen()) {
+      loans.push_back(std::move(loan));
+    }
+  }
+  return loans;
 }
 
 } // namespace sesameway::proxy
--- a/src/proxy/LinkLender.h
+++ b/src/proxy/LinkLender.h
@@ -43,6 +43,8 @@
                  const peer::LinkRequest& aRequest,
                  LeasePtr aLease,
                  const std::function<void(peer::LinkOffer)>& aDone);
+  // A connection that is taken back may be lent anew at once, which changes mLoans.
+  std::vector<std::shared_ptr<Loan>> OpenLoans() const;
   void Refuse(peer::LinkRefusal aRefusal,
               TimePoint aRetryAt,
               Duration aWait,
--- a/test/proxy/LendingTest.cpp
+++ b/test/proxy/LendingTest.cpp
@@ -90,6 +90,7 @@
   CPPUNIT_TEST(DaemonWithoutAnyHomeOpensOneConnection);
   CPPUNIT_TEST(StoppingHomeLendsNoMore);
   CPPUNIT_TEST(StatementThatWaitsAtAStoppedHomeIsNotUnknown);
+  CPPUNIT_TEST(AllIdleLinksAreTakenBackWhileOthersWaitForThem);
   CPPUNIT_TEST(TransactionOfAGoneBorrowerEndsWithItsConnection);
   CPPUNIT_TEST(BorrowerReportsNothingOfAPrimary);
   CPPUNIT_TEST_SUITE_END();
@@ -245,6 +246,40 @@
     CPPUNIT_ASSERT(running->mAnswers.back().mCode == ReplyCode::Unknown);
   }
 
+  // Guards against links that stay lent, or a home that ends by itself: a connection
+  // that is taken back is lent anew at once if somebody waits for it.
+  void AllIdleLinksAreTakenBackWhileOthersWaitForThem()
+  {
+    LendingWorld world;
+    auto& home = *world.mFirst;
+    std::vector<std::shared_ptr<peer::LentLink>> links;
+    auto lend = [&] {
+      peer::LinkRequest request;
+      request.mDatabase = "old";
+      request.mGroup = "g";
+      request.mOrganisation = "acme";
+      request.mTerms.mDeadline = Clock::now() + seconds(5);
+      home.mFleet.Lend(request,
+                       [&](peer::LinkOffer aOffer) { links.push_back(aOffer.mLink); });
+      home.RunFor(milliseconds(2));
+      home.mDatabases.Accept("old");
+      home.RunFor(milliseconds(2));
+      return links.size();
+    };
+    // Requests wait once the home's connections are used up.
+    std::size_t lent = 0;
+    while (lend() > lent) {
+      lent = links.size();
+    }
+    for (std::size_t n = 1; n < lent; ++n) {
+      lend();
+    }
+    CPPUNIT_ASSERT_EQUAL(lent, home.mFleet.LentCount());
+    home.mFleet.TakeBackIdleLinks();
+    CPPUNIT_ASSERT_EQUAL(2 * lent, links.size());
+    CPPUNIT_ASSERT_EQUAL(lent, home.mFleet.LentCount());
+  }
+
   // Guards against an open transaction that the next borrower of its connection joins.
   void TransactionOfAGoneBorrowerEndsWithItsConnection()
   {
