--- a/src/proxy/CallerOutcome.cpp
+++ b/src/proxy/CallerOutcome.cpp
@@ -168,7 +168,7 @@
 void CallerRun::OnOverload(const ConnectionReply& aReply)
 {
   auto& attempt = *mAttempt;
-  auto reason = EndReason(aReply.mDetail + " at " + mLease->mDatabase);
+  auto reason = EndReasonOr(aReply.mDetail + " at " + mLease->mDatabase);
   attempt.mAvoid.insert(mLease->mDatabase);
   if (mTransaction == TransactionState::Open) {
     RollBack();
@@ -247,7 +247,7 @@
 void CallerRun::RetryOrFail(ReplyCode aCode, const std::string& aReason)
 {
   auto& attempt = *mAttempt;
-  auto reason = EndReason(aReason);
+  auto reason = EndReasonOr(aReason);
   attempt.mCause = reason;
   if (attempt.mIsOutcomeUnknown) {
     Fail(ReplyCode::Unknown, reason);
@@ -291,7 +291,7 @@
     return;
   }
   mAttempt->mHasTimedOut = mIsSending;
-  EndAttempt("no_connection_in_time " + mAttempt->mCause);
+  GiveUp("no_connection_in_time " + mAttempt->mCause);
 }
 
 void CallerRun::EndRequest(std::string_view aReason)
@@ -301,10 +301,10 @@
   }
   mAttempt->mEndReason = aReason;
   auto now = mEnvironment.Now();
-  EndAttempt(RetryText(std::string(aReason), now, now));
+  GiveUp(RetryText(std::string(aReason), now, now));
 }
 
-void CallerRun::EndAttempt(const std::string& aDetail)
+void CallerRun::GiveUp(const std::string& aDetail)
 {
   if (mIsSending) {
     mLease->mLink->Close();
@@ -320,7 +320,7 @@
   Fail(ReplyCode::Busy, aDetail);
 }
 
-std::string CallerRun::EndReason(const std::string& aReason) const
+std::string CallerRun::EndReasonOr(const std::string& aReason) const
 {
   const auto& reason = mAttempt->mEndReason;
   return reason.empty() ? aReason : std::string(reason);
--- a/src/proxy/CallerRun.h
+++ b/src/proxy/CallerRun.h
@@ -142,11 +142,11 @@
   void WatchForNoResponse();
   void OnLost();
   void OnDeadline();
-  // Ends the current request wherever it is. One that waits is answered as busy with
-  // `aDetail`.
-  void EndAttempt(const std::string& aDetail);
-  // Why the current request ends: `aReason`, unless it is ended before its timeout.
-  std::string EndReason(const std::string& aReason) const;
+  // Gives the current request up, wherever it is. One that waits is answered as busy
+  // with `aDetail`.
+  void GiveUp(const std::string& aDetail);
+  // Why the current request is ended before its timeout, or `aReason` if it is not.
+  std::string EndReasonOr(const std::string& aReason) const;
   void RetryOrFail(ReplyCode aCode, const std::string& aReason);
   void RetryLater();
   bool MayRetry() const;
--- a/src/proxy/DatabaseQueue.h
+++ b/src/proxy/DatabaseQueue.h
@@ -83,6 +83,7 @@
   StatementQueue mQueue;
   ConcurrencyLimit mLimit;
   Timer mTick;
+  // Whether StopStarting has been called; mLimit then no longer counts.
   bool mIsStopped = false;
   // Connections that are being opened.
   std::size_t mOpenings = 0;
--- a/test/core/DrainPlanTest.cpp
+++ b/test/core/DrainPlanTest.cpp
@@ -94,6 +94,7 @@
     CPPUNIT_ASSERT(!mPlan.IsOver(true, kStart + seconds(3)));
     CPPUNIT_ASSERT(!mPlan.IsOver(true, kKillAt - seconds(1)));
     CPPUNIT_ASSERT(mPlan.IsOver(true, kKillAt - milliseconds(100)));
+    CPPUNIT_ASSERT(mPlan.IsOver(true, kKillAt));
   }
 };
 
--- a/test/shell/CallerServerTest.cpp
+++ b/test/shell/CallerServerTest.cpp
@@ -1,4 +1,5 @@
 #include "caller/CallerServer.h"
+#include "shell/Processes.h"
 #include "wire/Convert.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -7,11 +8,11 @@
 #include <functional>
 #include <map>
 #include <mutex>
-#include <thread>
 #include <utility>
 #include <vector>
 
 using namespace sesameway;
+using namespace sesameway::test;
 
 namespace {
 
@@ -65,24 +66,6 @@
   std::vector<std::function<void(Answer)>> mRunning;
 };
 
-void WaitFor(const std::function<bool()>& aCondition)
-{
-  auto deadline = Clock::now() + kTimeout;
-  while (!aCondition() && Clock::now() < deadline) {
-    std::this_thread::sleep_for(milliseconds(5));
-  }
-}
-
-Statement MakeStatement(std::uint64_t aId, OperationKind aKind)
-{
-  Statement statement;
-  statement.mId = aId;
-  statement.mRoute = "r";
-  statement.mOperations.push_back({ aKind, "k", "v" });
-  statement.mDeadline = Clock::now() + seconds(60);
-  return statement;
-}
-
 } // namespace
 
 class CallerServerTest : public CppUnit::TestFixture
@@ -107,11 +90,10 @@
     grpc::ClientContext context;
     context.set_deadline(std::chrono::system_clock::now() + kTimeout);
     auto stream = stub->Session(&context);
-    auto send = [&](std::uint64_t aId, OperationKind aKind) {
-      stream->Write(wire::MakeCallerRequest(MakeStatement(aId, aKind), Clock::now()));
-    };
     for (std::uint64_t id = 1; id <= kStatements; ++id) {
-      send(id, OperationKind::Put);
+      auto statement = MakeStatement("r", OperationKind::Put, "k", "v", seconds(60));
+      statement.mId = id;
+      stream->Write(wire::MakeCallerRequest(statement, Clock::now()));
     }
     std::map<std::uint64_t, Answer> answers;
     wire::CallerAnswer incoming;
@@ -125,16 +107,17 @@
     // The last one finds the queue full, so those before it have been accepted.
     while (answers.count(kStatements) == 0 && read()) {
     }
-    WaitFor([&] { return sessions.Running() > 0; });
+    WaitUntil([&] { return sessions.Running() > 0; }, kTimeout);
 
     callers.CloseSessions();
     callers.AnswerAll();
     while (read()) {
     }
-    WaitFor([&] {
+    auto isClosed = [&] {
       sessions.EndAll();
       return callers.OpenSessions() == 0;
-    });
+    };
+    WaitUntil(isClosed, kTimeout);
     server->Shutdown(std::chrono::system_clock::now());
     CPPUNIT_ASSERT(answers[kStatements].mReason == Reason::QueueFull);
     CPPUNIT_ASSERT_EQUAL(std::size_t(kStatements), answers.size());
--- a/test/shell/ProgramsTest.cpp
+++ b/test/shell/ProgramsTest.cpp
@@ -5,6 +5,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <fstream>
+#include <memory>
 #include <sstream>
 
 using namespace sesameway;
@@ -26,12 +27,12 @@
     std::string mText;
   };
 
-  TemporaryFolder mFolder;
+  std::unique_ptr<TemporaryFolder> mFolder;
 
   Result Run(const std::string& aProgram,
              const std::vector<std::string>& aArguments) const
   {
-    auto log = mFolder.Path() / "log";
+    auto log = mFolder->Path() / "log";
     std::filesystem::remove(log);
     Process process(aProgram, aArguments, log);
     int code = process.Wait(Clock::now() + seconds(20));
@@ -40,6 +41,11 @@
     return { code, text.str() };
   }
 
+public:
+  void setUp() override { mFolder = std::make_unique<TemporaryFolder>(); }
+  void tearDown() override { mFolder.reset(); }
+
+private:
   void EveryProgramShowsHelpAndVersion()
   {
     for (const char* it : { "sesamed", "sesamectl", "sesameload", "sesamestand" }) {
@@ -65,7 +71,7 @@
 
   void CheckSettingsNamesFileKeyAndExpectation()
   {
-    auto file = (mFolder.Path() / "settings.toml").string();
+    auto file = (mFolder->Path() / "settings.toml").string();
     std::string valid = "name = \"vm-1\"\nzone = \"zone-1\"\nregion = \"region-1\"\n"
                         "caller_address = \"127.0.0.1:7000\"\n"
                         "peer_address = \"127.0.0.1:7001\"\n"
--- a/test/shell/ProxyProgramTest.cpp
+++ b/test/shell/ProxyProgramTest.cpp
@@ -6,8 +6,9 @@
 
 #include <csignal>
 #include <fstream>
-#include <sstream>
-#include <thread>
+#include <memory>
+#include <string>
+#include <vector>
 
 using namespace sesameway;
 using namespace sesameway::test;
@@ -19,8 +20,13 @@
   CPPUNIT_TEST(AStopKeepsToTheSettingsOfThatMoment);
   CPPUNIT_TEST_SUITE_END();
 
-  TemporaryFolder mFolder;
+  std::unique_ptr<TemporaryFolder> mFolder;
 
+public:
+  void setUp() override { mFolder = std::make_unique<TemporaryFolder>(); }
+  void tearDown() override { mFolder.reset(); }
+
+private:
   static std::string SettingsWith(int aGraceS, const std::vector<std::string>& aFree)
   {
     auto port = aFree[2].substr(aFree[2].find(':') + 1);
@@ -32,11 +38,18 @@
            R"("},"parameters":{"graceS":)" + std::to_string(aGraceS) + "}}";
   }
 
-  bool HasLogged(const std::string& aText) const
+  // Whether something listens at the address, IP:port.
+  static bool Accepts(const std::string& aAddress)
   {
-    std::ostringstream text;
-    text << std::ifstream(mFolder.Path() / "log").rdbuf();
-    return text.str().find(aText) != std::string::npos;
+    auto colon = aAddress.find(':');
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::socket socket(io);
+    boost::system::error_code error;
+    socket.connect(
+      { boost::asio::ip::make_address(aAddress.substr(0, colon)),
+        static_cast<std::uint16_t>(std::stoi(aAddress.substr(colon + 1))) },
+      error);
+    return !error;
   }
 
   // Guards against a stop that keeps to a time until the kill that has become shorter
@@ -49,13 +62,10 @@
     for (int n = 0; n < 5; ++n) {
       addresses.push_back(FreeAddress());
     }
-    auto file = (mFolder.Path() / "settings.json").string();
+    auto file = (mFolder->Path() / "settings.json").string();
     std::ofstream(file) << SettingsWith(6, addresses);
-    Process process("sesameproxy", { "--settings", file }, mFolder.Path() / "log");
-    auto deadline = Clock::now() + seconds(10);
-    while (!HasLogged("event=started") && Clock::now() < deadline) {
-      std::this_thread::sleep_for(milliseconds(20));
-    }
+    Process process("sesameproxy", { "--settings", file }, mFolder->Path() / "log");
+    CPPUNIT_ASSERT(WaitUntil([&] { return Accepts(addresses[0]); }, seconds(10)));
     std::ofstream(file) << SettingsWith(kGraceS, addresses);
     process.Signal(SIGTERM);
     CPPUNIT_ASSERT_EQUAL(0, process.Wait(Clock::now() + seconds(kGraceS)));
