--- a/review/standin-3/Client.h
+++ b/review/standin-3/Client.h
@@ -7,8 +7,8 @@
 namespace sesameway::review {
 
 // A client of the platform: a session that runs one operation after the other. An
-// operation that is answered with a promise, or whose session ends before its commit was
-// sent, is tried again with new ids at another daemon, twice at most.
+// operation that is answered with a promise, or whose session ends before its commit
+// was sent, is tried again with new ids at another daemon, twice at most.
 class Client : public std::enable_shared_from_this<Client>
 {
 public:
--- a/review/standin-3/Fixture.cpp
+++ b/review/standin-3/Fixture.cpp
@@ -76,29 +76,30 @@
 
 void LineConnection::Read()
 {
-  mSocket.async_read_some(
-    boost::asio::buffer(mBuffer),
-    [self = shared_from_this()](auto aError, std::size_t aBytes) {
-      if (aError) {
-        self->Close();
-        return;
-      }
-      self->mIn.append(self->mBuffer.data(), aBytes);
-      std::size_t from = 0;
-      for (auto end = self->mIn.find("\r\n"); end != std::string::npos;
-           end = self->mIn.find("\r\n", from)) {
-        auto line = self->mIn.substr(from, end - from);
-        from = end + 2;
-        // The callback may close the connection, which replaces it.
-        auto onLine = self->mOnLine;
-        onLine(std::move(line));
-        if (!self->IsOpen()) {
-          return;
-        }
-      }
-      self->mIn.erase(0, from);
-      self->Read();
-    });
+  mSocket.async_read_some(boost::asio::buffer(mBuffer),
+                          [self = shared_from_this()](auto aError, std::size_t aBytes) {
+                            if (aError) {
+                              self->Close();
+                              return;
+                            }
+                            self->mIn.append(self->mBuffer.data(), aBytes);
+                            std::size_t from = 0;
+                            for (auto end = self->mIn.find("\r\n");
+                                 end != std::string::npos;
+                                 end = self->mIn.find("\r\n", from)) {
+                              auto line = self->mIn.substr(from, end - from);
+                              from = end + 2;
+                              // The callback may close the connection, which replaces
+                              // it.
+                              auto onLine = self->mOnLine;
+                              onLine(std::move(line));
+                              if (!self->IsOpen()) {
+                                return;
+                              }
+                            }
+                            self->mIn.erase(0, from);
+                            self->Read();
+                          });
 }
 
 void LineConnection::Write(std::string aText)
@@ -248,7 +249,8 @@
 
 void Databases::Accept(Database& aDatabase)
 {
-  aDatabase.mAcceptor.async_accept([this, &aDatabase](auto aError, tcp::socket aSocket) {
+  aDatabase.mAcceptor.async_accept([this, &aDatabase](auto aError,
+                                                      tcp::socket aSocket) {
     if (aError == boost::asio::error::operation_aborted) {
       return;
     }
@@ -277,7 +279,7 @@
     auto tenant = TakeWord(aLine);
     bool isRight =
       service == mOptions.mService && (aLine.empty() || aLine == aDatabase.mName);
-    const char* code = !isRight ? "WRONGHOST"
+    const char* code = !isRight                                     ? "WRONGHOST"
                        : aDatabase.mOpen > mOptions.mMaxConnections ? "MAXCONN"
                                                                     : nullptr;
     if (code != nullptr) {
@@ -316,8 +318,9 @@
   }
   auto rest = text;
   auto verb = TakeWord(rest);
-  static const std::set<std::string> kSlotVerbs{ "READ", "WRITE", "EXECUTE", "COMMIT",
-                                                 "STATUS" };
+  static const std::set<std::string> kSlotVerbs{
+    "READ", "WRITE", "EXECUTE", "COMMIT", "STATUS"
+  };
   auto finish = [this, &aDatabase, aConnection, id, verb, rest] {
     mRecord.Line(aDatabase.mName + " runs " + id + ' ' + verb + ' ' + rest);
     Answer(aDatabase, aConnection, verb, rest);
@@ -397,8 +400,8 @@
     mRecord.Line(aDatabase.mName + " loses the answer to " + aVerb);
     return;
   }
-  auto text = error.empty() ? rows + "COMPLETE " + digest + "\r\n"
-                            : "ERROR " + error + "\r\n";
+  auto text =
+    error.empty() ? rows + "COMPLETE " + digest + "\r\n" : "ERROR " + error + "\r\n";
   text += std::string("READY ") + (aConnection->mIsInTransaction ? "T " : "I ") +
           Position() + "\r\n";
   aConnection->mLines->Write(std::move(text));
@@ -439,7 +442,10 @@
     { "seedNodes", aSeeds },
     { "bootstrap", true },
     { "limits",
-      { { "cpuShare", 0.25 }, { "vcpus", 1 }, { "ramMb", aRamMb }, { "maxFds", 4200 } } },
+      { { "cpuShare", 0.25 },
+        { "vcpus", 1 },
+        { "ramMb", aRamMb },
+        { "maxFds", 4200 } } },
     { "heartbeatMs", 1200 },
     { "parameters",
       { { "contactMs", 5000 },
@@ -567,10 +573,10 @@
                          int aTimeoutMs,
                          const std::string& aService)
 {
-  return { { "name", aHost },         { "host", aHost },
-           { "service", aService },   { "type", aType },
+  return { { "name", aHost },          { "host", aHost },
+           { "service", aService },    { "type", aType },
            { "maxStaleMs", aStaleMs }, { "timeoutMs", aTimeoutMs },
-           { "goalMs", 600 },         { "prio", 1 },
+           { "goalMs", 600 },          { "prio", 1 },
            { "public", false } };
 }
 
--- a/review/standin-3/LargeAnswerCase.cpp
+++ b/review/standin-3/LargeAnswerCase.cpp
@@ -1,6 +1,6 @@
 // Case: reads whose answers are larger than 8 MiB, while the settings file changes.
-// Arguments: folder, record. Exits with 1 if LOST is broken, 0 if it holds, 2 if the case
-// could not run.
+// Arguments: folder, record. Exits with 1 if LOST is broken, 0 if it holds, 2 if the
+// case could not run.
 
 #include "Fixture.h"
 
@@ -93,7 +93,8 @@
       mLines->Write("QUERY " + id + " READ " + mItem + "\r\n");
     } else if (aLine.starts_with("READY")) {
       result.mIsAnswered = true;
-      mRecord.Line(mName + " has its answer, " + std::to_string(result.mBytes) + " bytes");
+      mRecord.Line(mName + " has its answer, " + std::to_string(result.mBytes) +
+                   " bytes");
       mLines->mOnClosed = [] {};
       mLines->Write("QUIT\r\n");
       mLines->Close();
@@ -118,8 +119,8 @@
   if (argc < 3) {
     return 2;
   }
-  bool hasTrouble = std::getenv("TROUBLE") == nullptr ||
-                    std::string(std::getenv("TROUBLE")) != "0";
+  bool hasTrouble =
+    std::getenv("TROUBLE") == nullptr || std::string(std::getenv("TROUBLE")) != "0";
   std::signal(SIGPIPE, SIG_IGN);
   google::InitGoogleLogging(argv[0]);
   FLAGS_minloglevel = 2;
@@ -135,12 +136,12 @@
   options.mLargeRow = 1'000'000;
   options.mLargeRows = 9;
   Deployment deployment(loop, record, options);
-  nlohmann::json tenants =
-    nlohmann::json::array({ { { "name", "acme" },
-                              { "apiKeys", { "key-1" } },
-                              { "perS", 200 },
-                              { "burst", 200 } } });
-  nlohmann::json routes = nlohmann::json::array({ MakeRoute("db", "primary", 0, 2000) });
+  nlohmann::json tenants = nlohmann::json::array({ { { "name", "acme" },
+                                                     { "apiKeys", { "key-1" } },
+                                                     { "perS", 200 },
+                                                     { "burst", 200 } } });
+  nlohmann::json routes =
+    nlohmann::json::array({ MakeRoute("db", "primary", 0, 2000) });
   if (!deployment.Start({ "z0", "z1", "z2" }, argv[1], 260, tenants, routes)) {
     return 2;
   }
--- a/review/standin-3/LostRollbackCase.cpp
+++ b/review/standin-3/LostRollbackCase.cpp
@@ -19,8 +19,8 @@
     return 2;
   }
   std::string folder = argv[1];
-  bool hasTrouble = std::getenv("TROUBLE") == nullptr ||
-                    std::string(std::getenv("TROUBLE")) != "0";
+  bool hasTrouble =
+    std::getenv("TROUBLE") == nullptr || std::string(std::getenv("TROUBLE")) != "0";
   std::signal(SIGPIPE, SIG_IGN);
   google::InitGoogleLogging(argv[0]);
   FLAGS_minloglevel = 2;
@@ -42,14 +42,15 @@
   Loop loop;
   Databases::Options options;
   Deployment deployment(loop, record, options);
-  nlohmann::json tenants =
-    nlohmann::json::array({ { { "name", "acme" },
-                              { "apiKeys", { "key-1" } },
-                              { "perS", 2000 },
-                              { "burst", 2000 } } });
-  nlohmann::json routes = nlohmann::json::array({ MakeRoute("db", "primary", 0, 1000) });
-  std::vector<std::string> zones{ "z0", "z0", "z0", "z0", "z1",
-                                  "z1", "z1", "z2", "z2" };
+  nlohmann::json tenants = nlohmann::json::array({ { { "name", "acme" },
+                                                     { "apiKeys", { "key-1" } },
+                                                     { "perS", 2000 },
+                                                     { "burst", 2000 } } });
+  nlohmann::json routes =
+    nlohmann::json::array({ MakeRoute("db", "primary", 0, 1000) });
+  std::vector<std::string> zones{
+    "z0", "z0", "z0", "z0", "z1", "z1", "z1", "z2", "z2"
+  };
   if (!deployment.Start(zones, folder, 260, tenants, routes)) {
     return 2;
   }
--- a/review/standin-3/MemoryCase.cpp
+++ b/review/standin-3/MemoryCase.cpp
@@ -1,7 +1,7 @@
 // Case: sessions that have read a large answer once and stay open. The platform ends a
 // process whose resident memory exceeds its limit and starts it again.
-// Arguments: folder, record. Exits with 1 if the rule on faults is broken, 0 if it holds,
-// 2 if the case could not run.
+// Arguments: folder, record. Exits with 1 if the rule on faults is broken, 0 if it
+// holds, 2 if the case could not run.
 
 #include "Fixture.h"
 
@@ -18,8 +18,8 @@
 
 namespace {
 
-// A client whose session stays open. It reads one item, waits, and reads again; after the
-// end of the session it connects anew.
+// A client whose session stays open. It reads one item, waits, and reads again; after
+// the end of the session it connects anew.
 class IdleClient
 {
 public:
@@ -113,8 +113,8 @@
   if (argc < 3) {
     return 2;
   }
-  bool hasTrouble = std::getenv("TROUBLE") == nullptr ||
-                    std::string(std::getenv("TROUBLE")) != "0";
+  bool hasTrouble =
+    std::getenv("TROUBLE") == nullptr || std::string(std::getenv("TROUBLE")) != "0";
   std::signal(SIGPIPE, SIG_IGN);
   google::InitGoogleLogging(argv[0]);
   FLAGS_minloglevel = 2;
@@ -133,15 +133,15 @@
   options.mLargeRow = 1'000'000;
   options.mLargeRows = 7;
   Deployment deployment(loop, record, options);
-  nlohmann::json tenants =
-    nlohmann::json::array({ { { "name", "acme" },
-                              { "apiKeys", { "key-1" } },
-                              { "perS", 200 },
-                              { "burst", 200 } } });
+  nlohmann::json tenants = nlohmann::json::array({ { { "name", "acme" },
+                                                     { "apiKeys", { "key-1" } },
+                                                     { "perS", 200 },
+                                                     { "burst", 200 } } });
   nlohmann::json routes =
     nlohmann::json::array({ MakeRoute("db", "bounded", 1500, 2000) });
-  std::vector<std::string> zones{ "z0", "z0", "z0", "z0", "z1",
-                                  "z1", "z1", "z2", "z2" };
+  std::vector<std::string> zones{
+    "z0", "z0", "z0", "z0", "z1", "z1", "z1", "z2", "z2"
+  };
   if (!deployment.Start(zones, argv[1], kRamMb, tenants, routes)) {
     return 2;
   }
