--- a/review/standin-3/MemoryCase.cpp
+++ b/review/standin-3/MemoryCase.cpp
@@ -27,13 +27,13 @@
              Record& aRecord,
              std::string aName,
              std::string aItem,
-             const Daemon& aDaemon,
+             std::function<std::string()> aChoose,
              Duration aPause)
     : mLoop(aLoop)
     , mRecord(aRecord)
     , mName(std::move(aName))
     , mItem(std::move(aItem))
-    , mDaemon(aDaemon)
+    , mChoose(std::move(aChoose))
     , mPause(aPause)
     , mTimer(aLoop)
   {
@@ -49,22 +49,23 @@
   void Connect()
   {
     auto socket = std::make_shared<tcp::socket>(mLoop.Io());
-    socket->async_connect(
-      platform::ToEndpoint(mDaemon.CallerAddress()), [this, socket](auto aError) {
-        if (aError) {
-          StartAt(Clock::now() + seconds(1));
-          return;
-        }
-        mLines = std::make_shared<LineConnection>(std::move(*socket));
-        mIsAccepted = false;
-        mLines->mOnLine = [this](const std::string& aLine) { OnLine(aLine); };
-        mLines->mOnClosed = [this] {
-          mRecord.Line(mName + " sees its session end");
-          StartAt(Clock::now() + seconds(1));
-        };
-        mLines->Start();
-        mLines->Write("CONNECT db key-1\r\n");
-      });
+    socket->async_connect(platform::ToEndpoint(mChoose()), [this, socket](auto aError) {
+      if (aError) {
+        StartAt(Clock::now() + seconds(1));
+        return;
+      }
+      mLines = std::make_shared<LineConnection>(std::move(*socket));
+      mIsAccepted = false;
+      mLines->mOnLine = [this](const std::string& aLine) { OnLine(aLine); };
+      mLines->mOnClosed = [this] {
+        mRecord.Line(mName + " sees its session end");
+        bool triesAgain = ++mTries <= 2;
+        mTries = triesAgain ? mTries : 0;
+        StartAt(Clock::now() + (triesAgain ? milliseconds(500) : mPause));
+      };
+      mLines->Start();
+      mLines->Write("CONNECT db key-1\r\n");
+    });
   }
 
   void Send()
@@ -83,6 +84,7 @@
     if (!isReady) {
       mRecord.Line(mName + " gets " + aLine);
       mAnswers += aLine.starts_with("COMPLETE") ? 1 : 0;
+      mTries = aLine.starts_with("COMPLETE") ? 0 : mTries;
     } else if (!std::exchange(mIsAccepted, true)) {
       Send();
     } else {
@@ -98,7 +100,8 @@
   Record& mRecord;
   std::string mName;
   std::string mItem;
-  const Daemon& mDaemon;
+  std::function<std::string()> mChoose;
+  int mTries = 0;
   Duration mPause;
   Timer mTimer;
   LineConnectionPtr mLines;
@@ -110,9 +113,10 @@
 
 int main(int argc, char** argv)
 {
-  if (argc < 3) {
+  if (argc < 4) {
     return 2;
   }
+  bool isOne = std::string(argv[3]) == "one";
   bool hasTrouble =
     std::getenv("TROUBLE") == nullptr || std::string(std::getenv("TROUBLE")) != "0";
   std::signal(SIGPIPE, SIG_IGN);
@@ -123,15 +127,15 @@
   constexpr int kRamMb = 260;
   constexpr std::size_t kSessions = 292;
   const auto kStart = seconds(6);
-  const auto kPause = seconds(20);
-  const auto kEnd = seconds(75);
+  const Duration kPause = isOne ? milliseconds(1500) : seconds(20);
+  const Duration kEnd = isOne ? seconds(100) : seconds(75);
 
   Record record(argv[2]);
   Loop loop;
   Databases::Options options;
-  // Seven rows of 1,000,000 bytes, each a message of less than 1 MiB.
+  // Rows of 1,000,000 bytes, each a message of less than 1 MiB.
   options.mLargeRow = 1'000'000;
-  options.mLargeRows = 7;
+  options.mLargeRows = isOne ? 150 : 7;
   Deployment deployment(loop, record, options);
   nlohmann::json tenants = nlohmann::json::array({ { { "name", "acme" },
                                                      { "apiKeys", { "key-1" } },
@@ -148,14 +152,20 @@
   auto& daemons = deployment.mDaemons;
   std::vector<std::unique_ptr<IdleClient>> clients;
   auto began = Clock::now();
+  std::size_t turn = 0;
   for (std::size_t n = 0; n < kSessions; ++n) {
+    bool isLarge = hasTrouble && (!isOne || n == 0);
+    auto choose = [&daemons, &turn, n, isOne] {
+      auto index = isOne && n == 0 ? turn++ : n;
+      return daemons[index % daemons.size()]->CallerAddress();
+    };
     clients.push_back(std::make_unique<IdleClient>(loop,
                                                    record,
                                                    "c" + std::to_string(n),
-                                                   hasTrouble ? "large" : "1a4",
-                                                   *daemons[n % daemons.size()],
+                                                   isLarge ? "large" : "1a4",
+                                                   choose,
                                                    kPause));
-    clients.back()->StartAt(began + kStart + n * milliseconds(60));
+    clients.back()->StartAt(began + kStart + n * milliseconds(isOne ? 5 : 60));
   }
   std::vector<int> ends(daemons.size());
   std::vector<double> most(daemons.size());
